Read configuration documents and daemon settings whole

Daemon and tool must refuse the same text for the same reasons, so one JSON Schema a kind of file is shipped in the module and used by both. Cross-checks work on the tree, not on the mapped records, so that schema faults and cross-check faults are reported in one go, each with its JSON pointer. Validating after mapping was ruled out: mapping stops at the first fault. Settings ask for "plain": true or "tls" towards callers, peers and upstreams, so that plain text is never a default; hosts are IP numbers.

--- /dev/null
+++ b/document/src/main/java/org/ragworttide/document/DocumentResult.java
@@ -0,0 +1,34 @@
+package org.ragworttide.document;
+
+import java.util.List;
+
+/**
+ * What came of reading a configuration document.
+ *
+ * <p>Invariant: a refused document has at least one fault. Immutable, safe for use by any thread.
+ */
+public sealed interface DocumentResult {
+
+  /**
+   * The document is valid.
+   *
+   * @param document the document
+   */
+  record Accepted(ConfigurationDocument document) implements DocumentResult {}
+
+  /**
+   * The document must not be used.
+   *
+   * @param faults every fault found, ordered by place within its kind
+   */
+  record Refused(List<Fault> faults) implements DocumentResult {
+
+    /** Copies the faults. */
+    public Refused {
+      if (faults.isEmpty()) {
+        throw new IllegalArgumentException("a refusal needs a fault");
+      }
+      faults = List.copyOf(faults);
+    }
+  }
+}
--- /dev/null
+++ b/document/src/test/java/org/ragworttide/document/DocumentReaderTest.java
@@ -0,0 +1,116 @@
+package org.ragworttide.document;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A document is accepted whole or refused with every fault and its place. */
+public class DocumentReaderTest {
+  private String demo;
+
+  /** Reads the demo's document, which is valid. */
+  @BeforeClass
+  public void readDemo() throws IOException {
+    Path root = Path.of(System.getProperty("project.root", ".."));
+    demo = Files.readString(root.resolve("fakes/src/main/resources/demo/configuration.json"));
+  }
+
+  @Test
+  public void theDemosDocumentIsAccepted() {
+    assertTrue(
+        read(demo) instanceof DocumentResult.Accepted accepted
+            && accepted.document().upstreams().size() == 4);
+  }
+
+  /** Pairs of a change to the demo's document and the place of the fault it makes. */
+  @DataProvider
+  public Object[][] faults() {
+    return new Object[][] {
+      {"\"loadMultiple\": 1.5", "\"loadMultiple\": 1", "/fleet/loadMultiple"},
+      {"\"version\": 1", "\"version\": 0", "/version"},
+      {"\"version\": 1,", "\"version\": 1, \"colour\": 1,", "/colour"},
+      {"\"id\": \"chania\"", "\"id\": \"heraklion\"", "/zones/1/id"},
+      {"\"organisation\": \"plumbers\"", "\"organisation\": \"x\"", "/keys/1/organisation"},
+      {"\"zone\": \"chania\"", "\"zone\": \"athens\"", "/upstreams/1/zone"},
+      {"127.0.0.1:9102", "127.0.0.1:9101", "/upstreams/1/address"},
+      {"127.0.0.1:9102", "127.0.0.1:99102", "/upstreams/1/address"},
+      {"b11d88b8", "B11d88b8", "/keys/0/sha256"},
+      {"\"idempotent\": true", "\"idempotent\": false", "/routes/0/idempotent"},
+      {"\"path\": \"/bookings\"", "\"path\": \"/opening-hours\"", "/routes/2/path"},
+      {"[\"bookings-1\"]", "[\"bookings-2\"]", "/routes/1/upstreams/0"},
+      {"[\"bookings-1\"]", "[\"engine-1\"]", "/routes/1/upstreams/0"},
+      {"[\"bookings-1\"]", "[]", "/routes/1/upstreams"},
+      {"\"windowMillis\": 10000", "\"windowMillis\": 600001", "/routes/1/windowMillis"},
+      {"\"models\": [\"repair-8b\"]", "\"models\": []", "/upstreams/0/models"},
+      {"\"burst\": 100", "\"burst\": \"many\"", "/organisations/0/burst"},
+    };
+  }
+
+  @Test(dataProvider = "faults")
+  public void everyFaultIsReportedWithItsPlace(String from, String to, String place) {
+    assertTrue(demo.contains(from), "the demo's document lacks " + from);
+    List<Fault> faults = faultsOf(demo.replaceFirst(java.util.regex.Pattern.quote(from), to));
+    assertTrue(
+        faults.stream().anyMatch(fault -> fault.place().equals(place)), "faults were " + faults);
+  }
+
+  @Test
+  public void schemaFaultsAndCrossFaultsAreReportedTogether() {
+    String text =
+        demo.replace("\"loadMultiple\": 1.5", "\"loadMultiple\": 0")
+            .replace("\"zone\": \"chania\"", "\"zone\": \"athens\"");
+    assertEquals(
+        faultsOf(text).stream().map(Fault::place).toList(),
+        List.of("/fleet/loadMultiple", "/upstreams/1/zone"));
+  }
+
+  @Test
+  public void theLargestSizeIsAcceptedAndOneByteMoreRefused() {
+    byte[] largest = padded(DocumentReader.MAX_DOCUMENT_BYTES);
+    assertTrue(DocumentReader.read(largest) instanceof DocumentResult.Accepted);
+    byte[] tooLarge = padded(DocumentReader.MAX_DOCUMENT_BYTES + 1);
+    assertTrue(DocumentReader.read(tooLarge) instanceof DocumentResult.Refused);
+  }
+
+  @Test
+  public void malformedTextNamesLineAndColumn() {
+    assertTrue(faultsOf("{\n \"version\": }").get(0).message().startsWith("line 2, column"));
+  }
+
+  @Test
+  public void repeatedNamesAreRefused() {
+    assertTrue(
+        faultsOf(demo.replace("\"version\": 1", "\"version\": 1, \"version\": 2")).size() > 0);
+  }
+
+  @Test
+  public void bytesThatAreNotUtf8AreRefused() {
+    byte[] bytes = demo.getBytes(StandardCharsets.UTF_8);
+    bytes[5] = (byte) 0xff;
+    assertTrue(DocumentReader.read(bytes) instanceof DocumentResult.Refused);
+  }
+
+  private byte[] padded(int size) {
+    byte[] text = demo.getBytes(StandardCharsets.UTF_8);
+    byte[] bytes = Arrays.copyOf(text, size);
+    Arrays.fill(bytes, text.length, size, (byte) ' ');
+    return bytes;
+  }
+
+  private static List<Fault> faultsOf(String text) {
+    return read(text) instanceof DocumentResult.Refused refused ? refused.faults() : List.of();
+  }
+
+  private static DocumentResult read(String text) {
+    return DocumentReader.read(text.getBytes(StandardCharsets.UTF_8));
+  }
+}
