Add the stand-ins and the launchers

Daemon and demo need a platform, engines and a booking service on loopback that can be made to fail in the ways the users listed. Steering is by paths under /control, apart from the interfaces that stand for the platform's. The launchers build when a class or anything on the class path is missing and then replace the shell, so that signals reach the program.

--- /dev/null
+++ b/bin/launcher.sh
@@ -0,0 +1,34 @@
+# Sourced by the launchers: builds what is missing and replaces the shell by the program.
+root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd) || exit 2
+
+# Tells whether the module's classes and everything on its class path exist.
+built() {
+  local module=$1 main=$2 entry
+  [ -f "$root/$module/target/classes/${main//.//}.class" ] || return 1
+  [ -f "$root/$module/target/classpath.txt" ] || return 1
+  local IFS=:
+  for entry in $(<"$root/$module/target/classpath.txt"); do
+    [ -e "$entry" ] || return 1
+  done
+}
+
+# Runs the main class of a module with the given arguments.
+launch() {
+  local module=$1 main=$2 home log
+  shift 2
+  home=$("$root/build" --java-home) || exit 2
+  if ! built "$module" "$main"; then
+    log=$(mktemp) || exit 2
+    if ! "$root/build" -q -DskipTests package >"$log" 2>&1 </dev/null; then
+      cat "$log" >&2
+      rm -f "$log"
+      echo "$(basename "$0"): the build failed" >&2
+      exit 2
+    fi
+    rm -f "$log"
+  fi
+  # shellcheck disable=SC2086
+  exec "$home/bin/java" --enable-native-access=ALL-UNNAMED \
+    ${JAVA_OPTS:-} -cp "$root/$module/target/classes:$(<"$root/$module/target/classpath.txt")" \
+    "$main" "$@"
+}
--- /dev/null
+++ b/fakes/src/main/java/org/ragworttide/fakes/ChatAnswer.java
@@ -0,0 +1,64 @@
+package org.ragworttide.fakes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.zip.CRC32;
+
+/**
+ * The answer that every stand-in engine gives to the same messages.
+ *
+ * <p>Invariant: depends on the messages and the number of chunks only, so that a stream can be
+ * resumed on another engine and a crossed answer is noticed. Immutable, safe for use by any thread.
+ *
+ * @param model the asked model
+ * @param digest digest of the messages
+ * @param chunks number of content chunks
+ */
+public record ChatAnswer(String model, String digest, int chunks) {
+
+  /** Returns the answer to a request's JSON. */
+  public static ChatAnswer to(byte[] request, int defaultChunks) {
+    JsonNode tree = Json.parse(request);
+    CRC32 crc = new CRC32();
+    crc.update(tree.path("messages").toString().getBytes(StandardCharsets.UTF_8));
+    return new ChatAnswer(
+        tree.path("model").asText(),
+        "%08x".formatted(crc.getValue()),
+        tree.path("max_tokens").asInt(defaultChunks));
+  }
+
+  /** Returns one content chunk, as {@code w0-1a2b3c4d} and a space. */
+  public String content(int index) {
+    return "w" + index + "-" + digest + " ";
+  }
+
+  /** Returns the whole text. */
+  public String text() {
+    return IntStream.range(0, chunks).mapToObj(this::content).collect(Collectors.joining());
+  }
+
+  String event(int index) {
+    Map<String, Object> choice = new LinkedHashMap<>();
+    choice.put("index", 0);
+    choice.put("delta", Map.of("content", content(index)));
+    choice.put("finish_reason", index == chunks - 1 ? "stop" : null);
+    return "data: "
+        + Json.text(new Chunk("chat.completion.chunk", model, List.of(choice)))
+        + "\n\n";
+  }
+
+  byte[] whole() {
+    Map<String, Object> choice = new LinkedHashMap<>();
+    choice.put("index", 0);
+    choice.put("message", Map.of("role", "assistant", "content", text()));
+    choice.put("finish_reason", "stop");
+    return Json.bytes(new Chunk("chat.completion", model, List.of(choice)));
+  }
+
+  private record Chunk(String object, String model, List<Map<String, Object>> choices) {}
+}
--- /dev/null
+++ b/fakes/src/main/java/org/ragworttide/fakes/FakeEngine.java
@@ -0,0 +1,114 @@
+package org.ragworttide.fakes;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Duration;
+import java.util.Set;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/**
+ * Stands in for a model engine: answers chats, keeps prefixes in memory and can be made to fail.
+ *
+ * <p>The paths under {@code /control} steer the stand-in and are no part of an engine's interface.
+ * Invariant: the same messages always get the same answer. Safe for use by any thread.
+ */
+public final class FakeEngine implements AutoCloseable {
+  /** A request whose body holds this text crashes every engine that runs it. */
+  public static final String CRASHING_TEXT = "crash-every-engine";
+
+  private final String id;
+  private final EngineState state;
+  private final DisposableServer server;
+
+  private FakeEngine(String id, int port, Set<String> keys) {
+    this.id = id;
+    state = new EngineState(keys);
+    server = LoopbackServer.start(port, this::routes);
+  }
+
+  /**
+   * Starts the stand-in.
+   *
+   * @param id its id in the configuration document
+   * @param port its port; 0 lets the machine choose
+   * @param keys callers' keys, which it must never see
+   */
+  public static FakeEngine start(String id, int port, Set<String> keys) {
+    return new FakeEngine(id, port, keys);
+  }
+
+  /** Returns the port it listens on. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Returns its report of its load. */
+  public LoadReport report() {
+    EngineState.Stats stats = state.stats();
+    return new LoadReport(
+        id, stats.incarnation(), stats.inFlight(), 0, System.nanoTime() / 1_000_000);
+  }
+
+  @Override
+  public void close() {
+    server.disposeNow(Duration.ofSeconds(1));
+  }
+
+  private void routes(HttpServerRoutes routes) {
+    routes
+        .post("/v1/chat/completions", this::chat)
+        .get("/control/stats", (in, out) -> LoopbackServer.json(out, state.stats()))
+        .post("/control/pace", (in, out) -> control(out, () -> state.pace(pace(in))))
+        .post("/control/crash", (in, out) -> control(out, () -> crash(in)))
+        .post("/control/stall", (in, out) -> control(out, () -> stall(in)))
+        .post("/control/cold", (in, out) -> control(out, () -> turnCold(in)))
+        .post("/control/refuse", (in, out) -> control(out, () -> refuse(in)));
+  }
+
+  private Publisher<Void> chat(HttpServerRequest in, HttpServerResponse out) {
+    state.keys.look(in);
+    if (state.refusing()) {
+      return out.status(HttpResponseStatus.SERVICE_UNAVAILABLE).send();
+    }
+    return LoopbackServer.body(in).flatMap(body -> new ChatRun(state, in, out).answer(body));
+  }
+
+  private static Mono<Void> control(HttpServerResponse out, Runnable action) {
+    return Mono.fromRunnable(action).then(out.send());
+  }
+
+  private EngineState.Pace pace(HttpServerRequest in) {
+    EngineState.Pace now = state.pace();
+    return new EngineState.Pace(
+        (int) LoopbackServer.number(in, "chunks", now.chunks()),
+        LoopbackServer.number(in, "chunkDelayMillis", now.chunkDelayMillis()),
+        LoopbackServer.number(in, "missDelayMillis", now.missDelayMillis()));
+  }
+
+  private void crash(HttpServerRequest in) {
+    int after = (int) LoopbackServer.number(in, "afterChunks", -1);
+    if (after < 0) {
+      state.crash();
+    } else {
+      state.crashNext(after);
+    }
+  }
+
+  private void stall(HttpServerRequest in) {
+    state.stallNext((int) LoopbackServer.number(in, "afterChunks", 0));
+  }
+
+  private void turnCold(HttpServerRequest in) {
+    state.turnCold(
+        (int) LoopbackServer.number(in, "limit", 4),
+        (int) LoopbackServer.number(in, "requests", 20));
+  }
+
+  private void refuse(HttpServerRequest in) {
+    state.refuse(Boolean.parseBoolean(LoopbackServer.text(in, "on", "true")));
+  }
+}
--- /dev/null
+++ b/fakes/src/main/java/org/ragworttide/fakes/FakeSet.java
@@ -0,0 +1,79 @@
+package org.ragworttide.fakes;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+
+/**
+ * A platform, engines and a booking service that run together, for demos and whole-path tests.
+ *
+ * <p>Invariant: the engines' loads are published at a fixed interval. Safe for use by any thread.
+ */
+public final class FakeSet implements AutoCloseable {
+  private static final Duration LOAD_INTERVAL = Duration.ofMillis(500);
+
+  /**
+   * Where the stand-ins listen; 0 lets the machine choose.
+   *
+   * @param platform the platform's port
+   * @param engines the engines' ports, for engine-1, engine-2, ...
+   * @param bookings the booking service's port
+   */
+  public record Ports(int platform, List<Integer> engines, int bookings) {}
+
+  private final FakePlatform platform;
+  private final List<FakeEngine> engines;
+  private final FakeBookingService bookings;
+  private final Disposable loads;
+
+  private FakeSet(Ports ports, Set<String> keys) {
+    platform = FakePlatform.start(ports.platform());
+    List<FakeEngine> started = new ArrayList<>();
+    for (int port : ports.engines()) {
+      started.add(FakeEngine.start("engine-" + (started.size() + 1), port, keys));
+    }
+    engines = List.copyOf(started);
+    bookings = FakeBookingService.start(ports.bookings(), keys);
+    loads = Flux.interval(Duration.ZERO, LOAD_INTERVAL).subscribe(tick -> publishLoads());
+  }
+
+  /**
+   * Starts the stand-ins.
+   *
+   * @param ports where they listen
+   * @param keys callers' keys, which no upstream must see
+   */
+  public static FakeSet start(Ports ports, Set<String> keys) {
+    return new FakeSet(ports, keys);
+  }
+
+  /** Returns the platform. */
+  public FakePlatform platform() {
+    return platform;
+  }
+
+  /** Returns the engines. */
+  public List<FakeEngine> engines() {
+    return engines;
+  }
+
+  /** Returns the booking service. */
+  public FakeBookingService bookings() {
+    return bookings;
+  }
+
+  @Override
+  public void close() {
+    loads.dispose();
+    engines.forEach(FakeEngine::close);
+    bookings.close();
+    platform.close();
+  }
+
+  private void publishLoads() {
+    platform.publishLoads(engines.stream().map(FakeEngine::report).toList());
+  }
+}
