--- a/document/src/test/java/org/ragworttide/document/DocumentReaderTest.java
+++ b/document/src/test/java/org/ragworttide/document/DocumentReaderTest.java
@@ -39,7 +39,7 @@
       {"\"version\": 1", "\"version\": 0", "/version"},
       {"\"version\": 1,", "\"version\": 1, \"colour\": 1,", "/colour"},
       {"\"id\": \"chania\"", "\"id\": \"heraklion\"", "/zones/1/id"},
-      {"\"organisation\": \"plumbers\"", "\"organisation\": \"x\"", "/keys/1/organisation"},
+      {"\"organisation\": \"plumbers\"", "\"organisation\": \"x\"", "/keys/2/organisation"},
       {"\"zone\": \"chania\"", "\"zone\": \"athens\"", "/upstreams/1/zone"},
       {"127.0.0.1:9102", "127.0.0.1:9101", "/upstreams/1/address"},
       {"127.0.0.1:9102", "127.0.0.1:99102", "/upstreams/1/address"},
--- a/fakes/src/main/java/org/ragworttide/fakes/EngineState.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/EngineState.java
@@ -22,30 +22,6 @@
    */
   record Pace(int chunks, long chunkDelayMillis, long missDelayMillis) {}
 
-  /**
-   * What an engine has counted.
-   *
-   * @param arrivals requests that arrived
-   * @param completed requests that were answered whole
-   * @param cancels requests that the router cancelled
-   * @param inFlight requests that run
-   * @param maxInFlight most requests that ran at once
-   * @param hits requests whose chat was in memory
-   * @param keysSeen requests that carried a caller's key
-   * @param crashes how often it crashed
-   * @param incarnation grows with each restart
-   */
-  public record Stats(
-      int arrivals,
-      int completed,
-      int cancels,
-      int inFlight,
-      int maxInFlight,
-      int hits,
-      int keysSeen,
-      int crashes,
-      long incarnation) {}
-
   final PrefixMemory memory = new PrefixMemory(MAX_CHATS);
   final KeyWatch keys;
   private final Set<Connection> open = ConcurrentHashMap.newKeySet();
@@ -68,8 +44,8 @@
     this.keys = new KeyWatch(keys);
   }
 
-  synchronized Stats stats() {
-    return new Stats(
+  synchronized EngineStats stats() {
+    return new EngineStats(
         arrivals,
         completed,
         cancels,
--- a/fakes/src/main/java/org/ragworttide/fakes/FakeBookingService.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/FakeBookingService.java
@@ -60,6 +60,11 @@
     return bookings.get();
   }
 
+  /** Returns how many requests carried a caller's key. */
+  public int keysSeen() {
+    return keys.seen();
+  }
+
   @Override
   public void close() {
     server.disposeNow(Duration.ofSeconds(1));
--- a/fakes/src/main/java/org/ragworttide/fakes/FakeEngine.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/FakeEngine.java
@@ -48,11 +48,37 @@
 
   /** Returns its report of its load. */
   public LoadReport report() {
-    EngineState.Stats stats = state.stats();
+    EngineStats stats = state.stats();
     return new LoadReport(
         id, stats.incarnation(), stats.inFlight(), 0, System.nanoTime() / 1_000_000);
   }
 
+  /** Returns its id. */
+  public String id() {
+    return id;
+  }
+
+  /** Returns what it has counted. */
+  public EngineStats stats() {
+    return state.stats();
+  }
+
+  /**
+   * Sets how it answers.
+   *
+   * @param chunks content chunks of an answer that names no limit
+   * @param chunkDelayMillis time before each chunk
+   * @param missDelayMillis time before the first chunk of a chat that is not in memory
+   */
+  public void pace(int chunks, long chunkDelayMillis, long missDelayMillis) {
+    state.pace(new EngineState.Pace(chunks, chunkDelayMillis, missDelayMillis));
+  }
+
+  /** Crashes in the next request after so many chunks of it. */
+  public void crashNext(int afterChunks) {
+    state.crashNext(afterChunks);
+  }
+
   @Override
   public void close() {
     server.disposeNow(Duration.ofSeconds(1));
@@ -62,7 +88,7 @@
     routes
         .post("/v1/chat/completions", this::chat)
         .get("/control/stats", (in, out) -> LoopbackServer.json(out, state.stats()))
-        .post("/control/pace", (in, out) -> control(out, () -> state.pace(pace(in))))
+        .post("/control/pace", (in, out) -> control(out, () -> state.pace(paceOf(in))))
         .post("/control/crash", (in, out) -> control(out, () -> crash(in)))
         .post("/control/stall", (in, out) -> control(out, () -> stall(in)))
         .post("/control/cold", (in, out) -> control(out, () -> turnCold(in)))
@@ -81,7 +107,7 @@
     return Mono.fromRunnable(action).then(out.send());
   }
 
-  private EngineState.Pace pace(HttpServerRequest in) {
+  private EngineState.Pace paceOf(HttpServerRequest in) {
     EngineState.Pace now = state.pace();
     return new EngineState.Pace(
         (int) LoopbackServer.number(in, "chunks", now.chunks()),
--- a/fakes/src/main/java/org/ragworttide/fakes/FakesMain.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/FakesMain.java
@@ -17,7 +17,7 @@
 public final class FakesMain {
   private static final int FIXED_ARGUMENTS = 3;
   private static final int EXIT_USAGE = 2;
-  private static final Set<String> DEMO_KEYS = Set.of("hotel-key", "plumber-key");
+  private static final Set<String> DEMO_KEYS = Set.of("hotel-key", "hotel-old-key", "plumber-key");
 
   private FakesMain() {}
 
--- /dev/null
+++ b/fakes/src/main/java/org/ragworttide/fakes/demo/ChangeChecks.java
@@ -0,0 +1,151 @@
+package org.ragworttide.fakes.demo;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.ragworttide.fakes.EngineStats;
+import org.ragworttide.fakes.FakeEngine;
+
+/** Checks of changes while traffic runs: crashes, zones, keys and stops. Used by one thread. */
+final class ChangeChecks {
+  private static final int LONG_CHUNKS = 40;
+  private static final long SLOW_CHUNK_MILLIS = 50;
+  private static final long APPLY_MILLIS = 3_000;
+  private static final long WITHDRAWN_SECONDS = 6;
+  private static final int ZONE_CHATS = 24;
+
+  private final DemoFleet fleet;
+  private final DemoCaller caller;
+
+  ChangeChecks(DemoFleet fleet, DemoCaller caller) {
+    this.fleet = fleet;
+    this.caller = caller;
+  }
+
+  List<Check> all() {
+    return List.of(
+        new Check("an engine that crashes in mid-stream costs no part twice", this::crash),
+        new Check("a zone taken out gets no new work", this::zoneOut),
+        new Check("a zone brought back gets work again", this::zoneBack),
+        new Check("a withdrawn key ends its stream and is refused", this::withdrawn),
+        new Check("SIGTERM in mid-stream cuts nothing and exits 0", this::sigterm),
+        new Check("no upstream saw a key", this::keysSeen));
+  }
+
+  private Check.Result crash() {
+    DemoChat chat = new DemoChat("crash", "no water", 12);
+    EngineStats[] before = stats();
+    caller.chatUntilRun(url(0), "hotel-key", chat);
+    FakeEngine engine = grown(before);
+    engine.crashNext(4);
+    StreamAnswer answer = caller.chatUntilRun(url(1), "hotel-key", chat);
+    return new Check.Result(
+        answer.wholeAs(chat.expected()) && engine.stats().crashes() == 1,
+        answer.summary() + ", crashes of " + engine.id() + ": " + engine.stats().crashes());
+  }
+
+  private Check.Result zoneOut() {
+    fleet.document().service("chania", "OUT");
+    fleet.publishDocument();
+    DemoCaller.pause(APPLY_MILLIS);
+    int before = chania().arrivals();
+    int whole = chats("out");
+    int arrived = chania().arrivals() - before;
+    return new Check.Result(
+        arrived == 0 && whole == ZONE_CHATS,
+        arrived + " arrived in the zone, " + whole + " whole of " + ZONE_CHATS);
+  }
+
+  private Check.Result zoneBack() {
+    fleet.document().service("chania", "IN");
+    fleet.publishDocument();
+    DemoCaller.pause(APPLY_MILLIS);
+    int before = chania().arrivals();
+    int whole = chats("back");
+    int arrived = chania().arrivals() - before;
+    return new Check.Result(
+        arrived > 0 && whole == ZONE_CHATS,
+        arrived + " arrived in the zone, " + whole + " whole of " + ZONE_CHATS);
+  }
+
+  private Check.Result withdrawn() throws Exception {
+    slow(true);
+    DemoChat chat = new DemoChat("withdrawn", "endless", 400);
+    CompletableFuture<StreamAnswer> stream = caller.chat(url(0), "hotel-old-key", chat);
+    DemoCaller.pause(500);
+    final boolean running = !stream.isDone();
+    fleet.document().withdraw("hotel-old-key");
+    fleet.publishDocument();
+    StreamAnswer ended = stream.get(WITHDRAWN_SECONDS, TimeUnit.SECONDS);
+    slow(false);
+    StreamAnswer next =
+        caller.chat(url(1), "hotel-old-key", new DemoChat("after", "again", 2)).join();
+    return new Check.Result(
+        running && ended.end() == StreamAnswer.End.PROBLEM && next.status() == 401,
+        "stream " + ended.summary() + "; then " + next.status());
+  }
+
+  private Check.Result sigterm() throws Exception {
+    slow(true);
+    DaemonProcess daemon = fleet.daemons().get(2);
+    DemoChat chat = new DemoChat("sigterm", "goodbye", LONG_CHUNKS);
+    CompletableFuture<StreamAnswer> stream =
+        caller.chat(daemon.spot().callersUrl(), "hotel-key", chat);
+    DemoCaller.pause(500);
+    final boolean running = !stream.isDone();
+    fleet.publishLeaving(daemon, false);
+    daemon.terminate();
+    StreamAnswer answer = stream.get(20, TimeUnit.SECONDS);
+    int code = daemon.awaitExit();
+    fleet.publishLeaving(daemon, true);
+    slow(false);
+    return new Check.Result(
+        running && answer.wholeAs(chat.expected()) && code == 0,
+        answer.summary() + ", exit " + code);
+  }
+
+  private Check.Result keysSeen() {
+    int seen = fleet.fakes().bookings().keysSeen();
+    for (EngineStats stats : stats()) {
+      seen += stats.keysSeen();
+    }
+    return new Check.Result(seen == 0, seen + " requests with a key");
+  }
+
+  private int chats(String prefix) {
+    int whole = 0;
+    for (int i = 0; i < ZONE_CHATS; i++) {
+      DemoChat chat = new DemoChat(prefix + "-" + i, "zone " + i, 3);
+      whole += caller.chatUntilRun(url(i), "hotel-key", chat).wholeAs(chat.expected()) ? 1 : 0;
+    }
+    return whole;
+  }
+
+  private void slow(boolean on) {
+    for (FakeEngine engine : fleet.fakes().engines()) {
+      engine.pace(8, on ? SLOW_CHUNK_MILLIS : 5, 20);
+    }
+  }
+
+  private EngineStats chania() {
+    return fleet.fakes().engines().get(1).stats();
+  }
+
+  private EngineStats[] stats() {
+    return fleet.fakes().engines().stream().map(FakeEngine::stats).toArray(EngineStats[]::new);
+  }
+
+  private FakeEngine grown(EngineStats[] before) {
+    List<FakeEngine> engines = fleet.fakes().engines();
+    for (int i = 0; i < before.length; i++) {
+      if (engines.get(i).stats().completed() > before[i].completed()) {
+        return engines.get(i);
+      }
+    }
+    throw new IllegalStateException("no engine answered");
+  }
+
+  private String url(int index) {
+    return fleet.daemons().get(index % 3).spot().callersUrl();
+  }
+}
--- /dev/null
+++ b/fakes/src/main/java/org/ragworttide/fakes/demo/DaemonProcess.java
@@ -0,0 +1,108 @@
+package org.ragworttide.fakes.demo;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One daemon that the demo runs as a process of its own.
+ *
+ * <p>Invariant: stops only the process it has started. Safe for use by any thread.
+ */
+final class DaemonProcess {
+  private static final long KILL_AFTER_SECONDS = 20;
+  private static final int KILLED = -1;
+  private static final String SETTINGS =
+      """
+      {
+        // Written by the demo and removed at its end.
+        "vm": "%s", "zone": "%s", "fleet": "demo",
+        "callers": { "host": "127.0.0.1", "port": %d, "plain": true },
+        "operators": { "host": "127.0.0.1", "port": %d },
+        "peers": { "host": "127.0.0.1", "port": %d, "plain": true },
+        "platform": { "host": "127.0.0.1", "port": %d },
+        "upstream": { "plain": true }
+      }
+      """;
+
+  /**
+   * Where a daemon listens on loopback.
+   *
+   * @param vm its VM's id
+   * @param zone its availability zone
+   * @param callers port of the callers' listener
+   * @param operators port of the operators' listener
+   * @param peers port of the peers' listener
+   */
+  record Spot(String vm, String zone, int callers, int operators, int peers) {
+
+    String callersUrl() {
+      return "http://127.0.0.1:" + callers;
+    }
+
+    String operatorsUrl() {
+      return "http://127.0.0.1:" + operators;
+    }
+  }
+
+  private final Spot spot;
+  private final Path log;
+  private final Process process;
+
+  private DaemonProcess(Spot spot, Path log, Process process) {
+    this.spot = spot;
+    this.log = log;
+    this.process = process;
+  }
+
+  static DaemonProcess start(Path root, Path folder, Spot spot, int platformPort)
+      throws IOException {
+    Path settings = folder.resolve(spot.vm() + ".json");
+    Path log = folder.resolve(spot.vm() + ".log");
+    Files.writeString(settings, settings(spot, platformPort));
+    Process process =
+        new ProcessBuilder(
+                root.resolve("bin/ragworttided").toString(), "--settings", settings.toString())
+            .redirectErrorStream(true)
+            .redirectOutput(log.toFile())
+            .start();
+    process.getOutputStream().close();
+    return new DaemonProcess(spot, log, process);
+  }
+
+  Spot spot() {
+    return spot;
+  }
+
+  Path log() {
+    return log;
+  }
+
+  boolean alive() {
+    return process.isAlive();
+  }
+
+  /** Sends SIGTERM. */
+  void terminate() {
+    process.destroy();
+  }
+
+  /** Waits for the end and returns the exit code; kills the process after a while. */
+  int awaitExit() {
+    try {
+      if (process.waitFor(KILL_AFTER_SECONDS, TimeUnit.SECONDS)) {
+        return process.exitValue();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    process.destroyForcibly();
+    return KILLED;
+  }
+
+  private static String settings(Spot spot, int platformPort) {
+    return SETTINGS.formatted(
+        spot.vm(), spot.zone(), spot.callers(), spot.operators(), spot.peers(), platformPort);
+  }
+}
--- /dev/null
+++ b/fakes/src/main/java/org/ragworttide/fakes/demo/DemoChat.java
@@ -0,0 +1,25 @@
+package org.ragworttide.fakes.demo;
+
+import java.nio.charset.StandardCharsets;
+import org.ragworttide.fakes.ChatAnswer;
+
+/**
+ * A chat that a demo's caller sends; immutable.
+ *
+ * @param id the chat's id
+ * @param text what the caller says
+ * @param chunks how many parts the answer has
+ */
+record DemoChat(String id, String text, int chunks) {
+
+  String body() {
+    return ("{\"model\":\"repair-8b\",\"stream\":true,\"max_tokens\":%d,"
+            + "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}")
+        .formatted(chunks, text);
+  }
+
+  /** Returns the whole text of the right answer. */
+  String expected() {
+    return ChatAnswer.to(body().getBytes(StandardCharsets.UTF_8), chunks).text();
+  }
+}
