--- a/bin/launcher.sh
+++ b/bin/launcher.sh
@@ -29,6 +29,6 @@
   fi
   # shellcheck disable=SC2086
   exec "$home/bin/java" --enable-native-access=ALL-UNNAMED \
-    -Dragworttide.root="$root" ${JAVA_OPTS:-} -cp "$root/$module/target/classes:$(<"$root/$module/target/classpath.txt")" \
-    "$main" "$@"
+    -Dslf4j.internal.verbosity=ERROR -Dragworttide.root="$root" ${JAVA_OPTS:-} \
+    -cp "$root/$module/target/classes:$(<"$root/$module/target/classpath.txt")" "$main" "$@"
 }
--- /dev/null
+++ b/cli/src/main/java/org/ragworttide/cli/PercentilePlot.java
@@ -0,0 +1,91 @@
+package org.ragworttide.cli;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/** Draws percentiles of recorded times as SVG, both axes logarithmic; stateless. */
+final class PercentilePlot {
+  private static final int WIDTH = 720;
+  private static final int HEIGHT = 400;
+  private static final int MARGIN = 60;
+  private static final double DECADES = 4;
+  private static final double STEP_DECADES = 0.05;
+  private static final String[] COLOURS = {"#1f77b4", "#d62728"};
+
+  private PercentilePlot() {}
+
+  static String svg(Map<String, Histogram> named) {
+    StringBuilder svg = new StringBuilder();
+    append(svg, "<svg xmlns='http://www.w3.org/2000/svg' width='%d' height='%d'>\n", WIDTH, HEIGHT);
+    append(svg, "<rect width='100%%' height='100%%' fill='white'/>\n");
+    double top = 1;
+    for (Histogram histogram : named.values()) {
+      top = Math.max(top, Math.ceil(Math.log10(Math.max(1, histogram.getMaxValue()))));
+    }
+    axes(svg, top);
+    int index = 0;
+    for (Map.Entry<String, Histogram> entry : new TreeMap<>(named).entrySet()) {
+      curve(svg, entry, COLOURS[index % COLOURS.length], index, top);
+      index++;
+    }
+    return svg.append("</svg>\n").toString();
+  }
+
+  private static void axes(StringBuilder svg, double top) {
+    for (int decade = 0; decade <= DECADES; decade++) {
+      String label = String.format(Locale.ROOT, "%.4g%%", 100 - Math.pow(10, 2 - decade));
+      append(
+          svg,
+          "<text x='%.1f' y='%d' font-size='11'>%s</text>\n",
+          across(decade),
+          HEIGHT - 35,
+          label);
+    }
+    for (int decade = 0; decade <= top; decade++) {
+      double y = up(decade, top);
+      append(
+          svg,
+          "<line x1='%d' x2='%d' y1='%.1f' y2='%.1f' stroke='#ddd'/>\n",
+          MARGIN,
+          WIDTH - 20,
+          y,
+          y);
+      append(svg, "<text x='5' y='%.1f' font-size='11'>%s ms</text>\n", y, millis(decade));
+    }
+  }
+
+  private static void curve(
+      StringBuilder svg, Map.Entry<String, Histogram> entry, String colour, int row, double top) {
+    append(svg, "<polyline fill='none' stroke='%s' points='", colour);
+    for (double decade = 0; decade <= DECADES; decade += STEP_DECADES) {
+      double percentile = 100 - Math.pow(10, 2 - decade);
+      double micros = Math.max(1, entry.getValue().getValueAtPercentile(percentile));
+      append(svg, "%.1f,%.1f ", across(decade), up(Math.log10(micros), top));
+    }
+    append(
+        svg,
+        "'/>\n<text x='%d' y='%d' fill='%s' font-size='12'>%s</text>\n",
+        MARGIN + 10,
+        20 + 15 * row,
+        colour,
+        entry.getKey());
+  }
+
+  private static double across(double decade) {
+    return MARGIN + decade / DECADES * (WIDTH - MARGIN - 60);
+  }
+
+  private static double up(double decade, double top) {
+    return HEIGHT - MARGIN - decade / top * (HEIGHT - MARGIN - 30);
+  }
+
+  private static String millis(int decade) {
+    return String.format(Locale.ROOT, "%.4g", Math.pow(10, decade - 3));
+  }
+
+  private static void append(StringBuilder svg, String format, Object... values) {
+    svg.append(String.format(Locale.ROOT, format, values));
+  }
+}
--- a/fakes/src/main/java/org/ragworttide/fakes/demo/DemoCaller.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/demo/DemoCaller.java
@@ -27,6 +27,7 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
   private static final int MAX_ATTEMPTS = 40;
   private static final long RETRY_MILLIS = 250;
+  private static final long STARTED_MILLIS = 500;
 
   /**
    * An answer that came whole.
@@ -99,6 +100,18 @@
     return answer;
   }
 
+  /** Starts a long chat, again while it is refused as not run, and returns it when it runs. */
+  CompletableFuture<StreamAnswer> startChat(String url, String key, DemoChat chat) {
+    CompletableFuture<StreamAnswer> answer = chat(url, key, chat);
+    pause(STARTED_MILLIS);
+    for (int i = 1; i < MAX_ATTEMPTS && answer.isDone() && answer.join().notRun(); i++) {
+      refusals.incrementAndGet();
+      answer = chat(url, key, chat);
+      pause(STARTED_MILLIS);
+    }
+    return answer;
+  }
+
   /** Sends one booking once. */
   CompletableFuture<Answer> book(String url, String key, String idempotencyKey) {
     bookingsSent.incrementAndGet();
