Keep each organisation's rate and burst over the whole fleet with permits

An owner per organisation keeps one bucket; other VMs hold short permits whose tokens were debited before. Level plus outstanding tokens never exceeds the owner's share of the burst, so hoarded permits cannot add to a later burst. A permit is closed once, by its id, so a replayed return finds nothing open. A request is remembered as counted only once a close reports its use: had the grant been enough, a lost answer would let its retry run on a token that has refilled since.

Each VM has a small fixed reserve for when the owner cannot be reached; it is left out where not even one whole token a VM would fit into it.

--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/AskOutbox.java
@@ -0,0 +1,111 @@
+package org.ragworttide.coordination.limits;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.LimitMessage.Ask;
+import org.ragworttide.coordination.message.LimitMessage.Close;
+import org.ragworttide.coordination.message.LimitMessage.Want;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * Gathers what goes to one owner for a moment and sends it as one ask.
+ *
+ * <p>Invariant: each close is sent once, each waiting request stands in one ask. Not safe for use
+ * by several threads.
+ */
+final class AskOutbox {
+  private static final int MAX_REQUESTS_A_WANT = 32;
+  private static final int MAX_WANTS = 64;
+  private static final int MAX_CLOSES = 64;
+
+  private final TimerService time;
+  private final BiConsumer<VmId, PendingAsk> sender;
+  private final Map<VmId, Box> boxes = new HashMap<>();
+  private long nextAskId;
+
+  AskOutbox(TimerService time, long firstAskId, BiConsumer<VmId, PendingAsk> sender) {
+    this.time = time;
+    this.nextAskId = firstAskId;
+    this.sender = sender;
+  }
+
+  /** Sends the account's wishes with the next ask. */
+  void want(VmId owner, HolderAccount account, int delayMillis) {
+    Box box = boxes.computeIfAbsent(owner, id -> new Box());
+    box.accounts.add(account);
+    schedule(owner, box, delayMillis);
+  }
+
+  /** Sends a close within the delay. */
+  void close(VmId owner, Close close, int delayMillis) {
+    Box box = boxes.computeIfAbsent(owner, id -> new Box());
+    box.closes.addLast(close);
+    schedule(owner, box, delayMillis);
+  }
+
+  /** Sends everything now. */
+  void flushAll() {
+    List.copyOf(boxes.keySet()).forEach(this::flush);
+  }
+
+  private void schedule(VmId owner, Box box, int delayMillis) {
+    if (delayMillis == 0) {
+      flush(owner);
+      return;
+    }
+    long due = time.nowMillis() + delayMillis;
+    if (due < box.dueMillis) {
+      box.dueMillis = due;
+      box.timer.cancel();
+      box.timer = time.after(delayMillis, () -> flush(owner));
+    }
+  }
+
+  private void flush(VmId owner) {
+    Box box = boxes.remove(owner);
+    if (box == null) {
+      return;
+    }
+    box.timer.cancel();
+    while (!box.accounts.isEmpty() || !box.closes.isEmpty()) {
+      send(owner, box);
+    }
+  }
+
+  private void send(VmId owner, Box box) {
+    List<Want> wants = new ArrayList<>();
+    List<PendingAsk.Wanted> wanted = new ArrayList<>();
+    long now = time.nowMillis();
+    while (wants.size() < MAX_WANTS && !box.accounts.isEmpty()) {
+      HolderAccount account = box.accounts.iterator().next();
+      List<Waiter> waiters = account.takeWaiting(MAX_REQUESTS_A_WANT);
+      int spare = account.isAwaited() ? 0 : account.spareTokens(now);
+      wants.add(
+          new Want(account.organisation(), waiters.stream().map(Waiter::request).toList(), spare));
+      wanted.add(new PendingAsk.Wanted(account, waiters, spare));
+      if (!account.isAwaited()) {
+        box.accounts.remove(account);
+      }
+    }
+    List<Close> closes = new ArrayList<>();
+    while (closes.size() < MAX_CLOSES && !box.closes.isEmpty()) {
+      closes.add(box.closes.removeFirst());
+    }
+    sender.accept(owner, new PendingAsk(owner, now, new Ask(nextAskId++, wants, closes), wanted));
+  }
+
+  private static final class Box {
+    private final Set<HolderAccount> accounts = new LinkedHashSet<>();
+    private final Deque<Close> closes = new ArrayDeque<>();
+    private TimerService.Subscription timer = () -> {};
+    private long dueMillis = Long.MAX_VALUE;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitCommands.java
@@ -0,0 +1,34 @@
+package org.ragworttide.coordination.limits;
+
+import java.util.Map;
+import java.util.function.Consumer;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.LimitMessage;
+
+/**
+ * Changes the state of the fleet-wide limits.
+ *
+ * <p>Invariant: over all VMs an organisation is never admitted more than burst plus rate times
+ * window in any window. Called on the coordination thread only.
+ */
+public interface LimitCommands {
+
+  /**
+   * Decides whether a request may run, at once or after one exchange with the owner.
+   *
+   * @param organisation whose limit counts
+   * @param requestId names the request; its retries carry the same name
+   * @param decision told once, within a bounded time
+   */
+  void acquire(OrganisationId organisation, String requestId, Consumer<LimitDecision> decision);
+
+  /** Puts the limits of a configuration version in force, in place of all earlier ones. */
+  void apply(Map<OrganisationId, RateLimit> limits);
+
+  /** Takes in a message of a peer. */
+  void receive(VmId from, LimitMessage message);
+
+  /** Returns all unused tokens to their owners, before a stop. */
+  void release();
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitOwner.java
@@ -0,0 +1,191 @@
+package org.ragworttide.coordination.limits;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.LimitMessage.Answer;
+import org.ragworttide.coordination.message.LimitMessage.Ask;
+import org.ragworttide.coordination.message.LimitMessage.Close;
+import org.ragworttide.coordination.message.LimitMessage.Grant;
+import org.ragworttide.coordination.message.LimitMessage.Want;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * Hands out permits for the organisations that this VM owns.
+ *
+ * <p>Invariants: tokens are debited before they leave; no permit outlives the ownership that it was
+ * granted under; an account of a new ownership starts empty. Not safe for use by several threads.
+ */
+final class LimitOwner {
+  static final int NOT_OWNED_RETRY_MILLIS = 200;
+  private static final int MAX_RETRY_AFTER_MILLIS = 3_600_000;
+
+  private final TimerService time;
+  private final OwnerView owners;
+  private final LimitTable table;
+  private final RequestMemory memory;
+  private final Map<OrganisationId, OwnerAccount> accounts = new HashMap<>();
+  private final Map<Long, OrganisationId> permits = new HashMap<>();
+  private long nextPermitId;
+
+  LimitOwner(TimerService time, OwnerView owners, LimitTable table, long firstPermitId) {
+    this.time = time;
+    this.owners = owners;
+    this.table = table;
+    this.memory = new RequestMemory(table.settings().retryWindowMillis());
+    this.nextPermitId = firstPermitId;
+  }
+
+  /** Answers an ask of a holder; its closes take effect first. */
+  Answer answer(VmId holder, Ask ask) {
+    ask.closes().forEach(close -> close(holder, close));
+    List<Grant> grants = new ArrayList<>(ask.wants().size());
+    ask.wants().forEach(want -> grants.add(grant(holder, want)));
+    return new Answer(ask.askId(), grants);
+  }
+
+  /** Brings the accounts of all owned organisations up to now, before their limits change. */
+  void settleAll() {
+    for (OrganisationId organisation : table.organisations()) {
+      account(organisation).ifPresent(account -> account.settle(time.nowMillis()));
+    }
+  }
+
+  /** Applies the shares now in force to the accounts. */
+  void applyShares() {
+    long now = time.nowMillis();
+    for (Map.Entry<OrganisationId, OwnerAccount> entry : accounts.entrySet()) {
+      RateLimit share =
+          table.shares(entry.getKey()).map(LimitShares::owner).orElse(RateLimit.NOTHING);
+      if (!entry.getValue().bucket().limit().equals(share)) {
+        entry.getValue().bucket().change(share, now);
+      }
+    }
+    for (OrganisationId organisation : table.organisations()) {
+      if (!accounts.containsKey(organisation)) {
+        startEmpty(organisation, now);
+      }
+    }
+  }
+
+  /** Forgets accounts that are not needed any more and permits that are no longer open. */
+  void sweep() {
+    accounts.values().forEach(account -> account.settle(time.nowMillis()));
+    accounts.entrySet().removeIf(entry -> isOver(entry.getKey(), entry.getValue()));
+    permits
+        .entrySet()
+        .removeIf(
+            permit -> {
+              OwnerAccount account = accounts.get(permit.getValue());
+              return account == null || !account.isOpen(permit.getKey());
+            });
+  }
+
+  private boolean isOver(OrganisationId organisation, OwnerAccount account) {
+    Optional<Ownership> ownership = owners.ownership(organisation.value());
+    return ownership.isEmpty()
+        || !account.belongsTo(ownership.get())
+        || (table.shares(organisation).isEmpty() && !account.hasOpenPermits());
+  }
+
+  /** Returns the account of an organisation that this VM owns now. */
+  Optional<OwnerAccount> account(OrganisationId organisation) {
+    Optional<LimitShares> shares = table.shares(organisation);
+    Optional<Ownership> ownership = owners.ownership(organisation.value());
+    if (shares.isEmpty()
+        || ownership.isEmpty()
+        || ownership.get().untilMillis() <= time.nowMillis()) {
+      return Optional.empty();
+    }
+    OwnerAccount known = accounts.get(organisation);
+    if (known == null || !known.belongsTo(ownership.get())) {
+      long since = ownership.get().sinceMillis();
+      known = new OwnerAccount(shares.get().owner(), since, since);
+      accounts.put(organisation, known);
+    }
+    return Optional.of(known);
+  }
+
+  private void startEmpty(OrganisationId organisation, long now) {
+    RateLimit share = table.shares(organisation).orElseThrow().owner();
+    owners
+        .ownership(organisation.value())
+        .ifPresent(
+            ownership ->
+                accounts.put(organisation, new OwnerAccount(share, ownership.sinceMillis(), now)));
+  }
+
+  private void close(VmId holder, Close close) {
+    OrganisationId organisation = permits.get(close.permitId());
+    Optional<OwnerAccount> found = organisation == null ? Optional.empty() : account(organisation);
+    if (found.isEmpty()) {
+      return;
+    }
+    long now = time.nowMillis();
+    OwnerAccount account = found.get();
+    account.settle(now);
+    if (account.close(close.permitId(), holder, close.requests().size())) {
+      permits.remove(close.permitId());
+      close.requests().forEach(request -> count(account, request, now));
+    }
+  }
+
+  private void count(OwnerAccount account, long request, long now) {
+    if (memory.useRetry(request, now)) {
+      account.bucket().credit(1);
+    } else {
+      memory.remember(request, now);
+    }
+  }
+
+  private Grant grant(VmId holder, Want want) {
+    Optional<OwnerAccount> found = account(want.organisation());
+    if (found.isEmpty()) {
+      return Grant.notOwned(NOT_OWNED_RETRY_MILLIS);
+    }
+    long until = owners.ownership(want.organisation().value()).orElseThrow().untilMillis();
+    long remaining = ClockRate.shortened(until - time.nowMillis());
+    if (remaining < LimitTimes.MIN_PERMIT_MILLIS) {
+      return Grant.notOwned(NOT_OWNED_RETRY_MILLIS);
+    }
+    long duration = Math.min(LimitTimes.PERMIT_MILLIS, remaining);
+    return grant(holder, want, found.get(), (int) duration);
+  }
+
+  private Grant grant(VmId holder, Want want, OwnerAccount account, int durationMillis) {
+    long now = time.nowMillis();
+    account.settle(now);
+    List<Integer> counted = counted(want.requests(), now);
+    int waiting = want.requests().size() - counted.size();
+    int spare = (int) Math.min(want.spareTokens(), account.spareTokens(waiting));
+    long until = now + ClockRate.stretched(durationMillis);
+    int granted = account.open(nextPermitId, holder, waiting + spare, until);
+    int retryAfter = granted < waiting ? retryAfter(account, now) : 0;
+    boolean scarce = account.bucket().isScarce();
+    if (granted == 0) {
+      return new Grant(true, 0, 0, 0, scarce, retryAfter, counted);
+    }
+    permits.put(nextPermitId, want.organisation());
+    return new Grant(true, nextPermitId++, granted, durationMillis, scarce, retryAfter, counted);
+  }
+
+  private List<Integer> counted(List<Long> requests, long now) {
+    List<Integer> positions = new ArrayList<>(0);
+    for (int i = 0; i < requests.size(); i++) {
+      if (memory.useRetry(requests.get(i), now)) {
+        positions.add(i);
+      }
+    }
+    return positions;
+  }
+
+  private static int retryAfter(OwnerAccount account, long now) {
+    long refill = account.bucket().millisUntilToken();
+    long expiry = Math.max(1, account.nextExpiryMillis(now + refill) - now);
+    return (int) Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(1, Math.min(refill, expiry)));
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/Limits.java
@@ -0,0 +1,139 @@
+package org.ragworttide.coordination.limits;
+
+import java.util.Map;
+import java.util.function.Consumer;
+import org.ragworttide.coordination.hash.Rendezvous;
+import org.ragworttide.coordination.id.Incarnation;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.LimitMessage;
+import org.ragworttide.coordination.message.Transport;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * Keeps each organisation's rate and burst over the whole fleet, as owner and as holder of permits.
+ *
+ * <p>Invariant: over all VMs an organisation is never admitted more than burst plus rate times
+ * window in any window, whatever messages are lost, repeated, delayed or reordered. Called on the
+ * coordination thread only.
+ */
+public final class Limits implements LimitCommands, LimitQueries {
+  private static final long FIRST_ID_MASK = (1L << 48) - 1;
+
+  private final VmId self;
+  private final Transport transport;
+  private final TimerService time;
+  private final LimitTable table;
+  private final LimitTally tally = new LimitTally();
+  private final LimitOwner owner;
+  private final LimitHolder holder;
+
+  /**
+   * Creates the limits of one VM, without any organisation.
+   *
+   * @param self this VM
+   * @param incarnation this run of the process
+   * @param time the timer service
+   * @param transport sends to peers
+   * @param owners tells who owns an organisation
+   * @param settings what all daemons agree on
+   */
+  public Limits(
+      VmId self,
+      Incarnation incarnation,
+      TimerService time,
+      Transport transport,
+      OwnerView owners,
+      LimitSettings settings) {
+    this.self = self;
+    this.transport = transport;
+    this.time = time;
+    this.table = new LimitTable(settings);
+    long firstId = incarnation.value() & FIRST_ID_MASK;
+    this.owner = new LimitOwner(time, owners, table, firstId + 1);
+    this.holder = new LimitHolder(self, time, owners, settings, tally, firstId);
+    holder.sendWith(this::send);
+    time.every(LimitTimes.SWEEP_PERIOD_MILLIS, this::sweep);
+  }
+
+  @Override
+  public void acquire(
+      OrganisationId organisation, String requestId, Consumer<LimitDecision> decision) {
+    long request = Rendezvous.hash(organisation.value() + '\n' + requestId);
+    holder.acquire(organisation, request, decision);
+  }
+
+  @Override
+  public void apply(Map<OrganisationId, RateLimit> limits) {
+    owner.settleAll();
+    table.replace(limits);
+    owner.applyShares();
+    holder.apply(table);
+  }
+
+  @Override
+  public void receive(VmId from, LimitMessage message) {
+    switch (message) {
+      case LimitMessage.Ask ask -> answer(from, ask);
+      case LimitMessage.Answer answer -> holder.receive(from, answer);
+    }
+  }
+
+  @Override
+  public void release() {
+    holder.release();
+  }
+
+  @Override
+  public LimitCounters counters() {
+    return tally.counters();
+  }
+
+  @Override
+  public long heldTokens(OrganisationId organisation) {
+    return holder
+        .account(organisation)
+        .map(account -> account.heldTokens(time.nowMillis()))
+        .orElse(0L);
+  }
+
+  @Override
+  public long reservedTokens(OrganisationId organisation) {
+    return holder.account(organisation).map(account -> account.reserve().wholeTokens()).orElse(0L);
+  }
+
+  @Override
+  public long ownedTokens(OrganisationId organisation) {
+    return owner
+        .account(organisation)
+        .map(OwnerAccount::bucket)
+        .map(bucket -> bucket.levelNanos() + bucket.outstandingNanos())
+        .map(nanos -> nanos / RateLimit.NANOS_PER_TOKEN)
+        .orElse(0L);
+  }
+
+  private void send(VmId to, LimitMessage.Ask ask) {
+    if (to.equals(self)) {
+      answer(self, ask);
+    } else {
+      transport.send(to, ask);
+    }
+  }
+
+  private void answer(VmId from, LimitMessage.Ask ask) {
+    LimitMessage.Answer answer = owner.answer(from, ask);
+    if (ask.wants().isEmpty()) {
+      return;
+    }
+    if (from.equals(self)) {
+      holder.receive(self, answer);
+    } else {
+      transport.send(from, answer);
+    }
+  }
+
+  private void sweep() {
+    owner.sweep();
+    holder.sweep();
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/OwnerAccount.java
@@ -0,0 +1,103 @@
+package org.ragworttide.coordination.limits;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.ragworttide.coordination.id.VmId;
+
+/**
+ * One organisation's tokens at its owner, for one unbroken ownership.
+ *
+ * <p>Invariant: level plus tokens of open permits never exceeds the owner's share of the burst. A
+ * permit is closed once; what is not closed counts as outstanding until it has expired everywhere.
+ * Not safe for use by several threads.
+ */
+final class OwnerAccount {
+  private final long sinceMillis;
+  private final TokenBucket bucket;
+  private final Map<Long, OpenPermit> open = new HashMap<>();
+  private final PriorityQueue<OpenPermit> byExpiry = new PriorityQueue<>();
+
+  /**
+   * Creates an account.
+   *
+   * @param share the owner's part of the limit
+   * @param sinceMillis when the ownership began
+   * @param emptyAtMillis when the bucket was empty, not before the ownership began
+   */
+  OwnerAccount(RateLimit share, long sinceMillis, long emptyAtMillis) {
+    this.sinceMillis = sinceMillis;
+    this.bucket = new TokenBucket(share, emptyAtMillis);
+  }
+
+  boolean belongsTo(Ownership ownership) {
+    return ownership.sinceMillis() == sinceMillis;
+  }
+
+  TokenBucket bucket() {
+    return bucket;
+  }
+
+  /** Brings refill and expiry up to the given time, in the order in which they happened. */
+  void settle(long nowMillis) {
+    while (!byExpiry.isEmpty() && byExpiry.peek().untilMillis <= nowMillis) {
+      OpenPermit permit = byExpiry.poll();
+      if (open.remove(permit.id) != null) {
+        bucket.refill(permit.untilMillis);
+        bucket.settle(permit.tokens, 0);
+      }
+    }
+    bucket.refill(nowMillis);
+  }
+
+  /** Opens a permit of up to the given tokens and returns how many it holds. */
+  int open(long permitId, VmId holder, int tokens, long untilMillis) {
+    int granted = bucket.lend(tokens);
+    if (granted > 0) {
+      OpenPermit permit = new OpenPermit(permitId, holder, granted, untilMillis);
+      open.put(permitId, permit);
+      byExpiry.add(permit);
+    }
+    return granted;
+  }
+
+  /** Closes a permit; returns whether it was open and the use is believable. */
+  boolean close(long permitId, VmId holder, int used) {
+    OpenPermit permit = open.get(permitId);
+    if (permit == null || !permit.holder.equals(holder) || used > permit.tokens) {
+      return false;
+    }
+    open.remove(permitId);
+    byExpiry.remove(permit);
+    bucket.settle(permit.tokens, permit.tokens - used);
+    return true;
+  }
+
+  boolean isOpen(long permitId) {
+    return open.containsKey(permitId);
+  }
+
+  boolean hasOpenPermits() {
+    return !open.isEmpty();
+  }
+
+  /** Returns how many tokens may be granted beyond those for requests that wait. */
+  long spareTokens(int waiting) {
+    long half = (long) (bucket.limit().burst() / 2);
+    return Math.max(0, (bucket.wholeTokens() - waiting - half) / 2);
+  }
+
+  /** Returns when the next permit expires, or the given time if none is open. */
+  long nextExpiryMillis(long otherwise) {
+    return byExpiry.isEmpty() ? otherwise : byExpiry.peek().untilMillis;
+  }
+
+  private record OpenPermit(long id, VmId holder, int tokens, long untilMillis)
+      implements Comparable<OpenPermit> {
+    @Override
+    public int compareTo(OpenPermit other) {
+      int byTime = Long.compare(untilMillis, other.untilMillis);
+      return byTime != 0 ? byTime : Long.compare(id, other.id);
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/PendingAsk.java
@@ -0,0 +1,33 @@
+package org.ragworttide.coordination.limits;
+
+import java.util.List;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.LimitMessage.Ask;
+
+/**
+ * An ask whose answer may still come.
+ *
+ * <p>Invariant: permits of its answer count from the time before it was sent. Its waiting requests
+ * are mutable; not safe for use by several threads.
+ *
+ * @param owner whom it went to
+ * @param sentMillis when it was about to be sent
+ * @param ask the message
+ * @param wanted what each want is for, in the order of the ask
+ */
+record PendingAsk(VmId owner, long sentMillis, Ask ask, List<Wanted> wanted) {
+
+  /**
+   * What one want is for.
+   *
+   * @param account the organisation's account
+   * @param waiters requests that wait
+   * @param spareTokens tokens asked for beyond these
+   */
+  record Wanted(HolderAccount account, List<Waiter> waiters, int spareTokens) {
+
+    int maxTokens() {
+      return waiters.size() + spareTokens;
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
@@ -0,0 +1,140 @@
+package org.ragworttide.coordination.limits;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.ragworttide.coordination.id.Incarnation;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.LimitMessage;
+import org.ragworttide.coordination.message.PeerMessage;
+import org.ragworttide.coordination.message.Transport;
+import org.ragworttide.coordination.net.FakeNetwork;
+import org.ragworttide.coordination.net.VmClock;
+import org.ragworttide.coordination.time.ManualTimerService;
+
+/**
+ * Runs the limits of many VMs in one thread and checks every admission of the fleet.
+ *
+ * <p>Invariant: the same seed and calls give the same run. Not safe for use by several threads.
+ */
+public final class LimitFleet {
+  private static final int MAX_CLOCK_ERROR_MILLIONTHS = 1_000;
+
+  /** The base time of the run. */
+  public final ManualTimerService time = new ManualTimerService();
+
+  /** The network between the VMs. */
+  public final FakeNetwork network;
+
+  /** The script of owners. */
+  public final ScriptedOwners owners = new ScriptedOwners(time);
+
+  /** The checker of all admissions. */
+  public final RateChecker checker = new RateChecker();
+
+  /** The VMs in order. */
+  public final List<VmId> vms = new ArrayList<>();
+
+  private final Map<VmId, Limits> limits = new HashMap<>();
+  private final Map<VmId, VmClock> clocks = new HashMap<>();
+  private final LimitSettings settings;
+  private final SplittableRandom random;
+  private final Consumer<PeerMessage> tap;
+  private Map<OrganisationId, RateLimit> table = Map.of();
+
+  /** Creates a fleet of the given number of VMs. */
+  public LimitFleet(long seed, int size, LimitSettings settings) {
+    this(seed, size, settings, message -> {});
+  }
+
+  /** Creates a fleet whose messages are shown to a tap. */
+  public LimitFleet(long seed, int size, LimitSettings settings, Consumer<PeerMessage> tap) {
+    this.random = new SplittableRandom(seed);
+    this.network = new FakeNetwork(time, random.nextLong());
+    this.settings = settings;
+    this.tap = tap;
+    for (int i = 0; i < size; i++) {
+      vms.add(new VmId("vm-" + i));
+      start(vms.getLast());
+    }
+  }
+
+  /** Starts or restarts a VM's process with an empty state. */
+  public void start(VmId vm) {
+    if (clocks.containsKey(vm)) {
+      clocks.get(vm).stop();
+    }
+    long error = random.nextLong(2L * MAX_CLOCK_ERROR_MILLIONTHS) - MAX_CLOCK_ERROR_MILLIONTHS;
+    VmClock clock = new VmClock(time, error, random.nextLong(1_000_000));
+    Incarnation incarnation = new Incarnation(random.nextLong());
+    Transport transport =
+        network.connect(vm, clock.guard((from, message) -> take(vm, from, message)));
+    Transport tapped =
+        (to, message) -> {
+          tap.accept(message);
+          transport.send(to, message);
+        };
+    clocks.put(vm, clock);
+    limits.put(vm, new Limits(vm, incarnation, clock, tapped, owners.view(vm, clock), settings));
+    limits.get(vm).apply(table);
+  }
+
+  /** Puts limits in force on all VMs at once. */
+  public void apply(Map<OrganisationId, RateLimit> newTable) {
+    table = Map.copyOf(newTable);
+    table.forEach((id, limit) -> checker.limit(id, limit, time.nowMillis()));
+    limits.values().forEach(each -> each.apply(table));
+  }
+
+  /** Sends a request of an organisation to a VM and follows its decision. */
+  public void request(
+      VmId vm, OrganisationId organisation, String request, Consumer<LimitDecision> then) {
+    if (!clocks.get(vm).isRunning()) {
+      return;
+    }
+    limits
+        .get(vm)
+        .acquire(
+            organisation,
+            request,
+            decision -> {
+              if (decision instanceof LimitDecision.Admitted) {
+                checker.admitted(organisation, request, time.nowMillis());
+              }
+              then.accept(decision);
+            });
+  }
+
+  /** Lets one VM own all organisations of the table from one base time to another. */
+  public void own(VmId vm, long fromMillis, long toMillis) {
+    table.keySet().forEach(id -> owners.hold(id.value(), vm, fromMillis, toMillis));
+  }
+
+  /** Returns the limits of a VM. */
+  public Limits at(VmId vm) {
+    return limits.get(vm);
+  }
+
+  /** Returns the clock of a VM's process. */
+  public VmClock clock(VmId vm) {
+    return clocks.get(vm);
+  }
+
+  /** Cuts or heals both directions between a VM and all others. */
+  public void isolate(VmId vm, boolean cut) {
+    for (VmId other : vms) {
+      network.cut(vm, other, cut);
+      network.cut(other, vm, cut);
+    }
+  }
+
+  private void take(VmId vm, VmId from, PeerMessage message) {
+    if (message instanceof LimitMessage limit) {
+      limits.get(vm).receive(from, limit);
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitsTest.java
@@ -0,0 +1,206 @@
+package org.ragworttide.coordination.limits;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.LimitMessage;
+import org.ragworttide.coordination.message.PeerMessage;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests single properties of the limits on a small fleet. */
+public class LimitsTest {
+  private static final OrganisationId HOTEL = new OrganisationId("hotel");
+  private static final long FOREVER_MILLIS = 1_000_000;
+
+  private final List<PeerMessage> messages = new ArrayList<>();
+  private final List<LimitDecision> decisions = new ArrayList<>();
+  private LimitFleet fleet;
+
+  /** Creates three VMs and one organisation. */
+  @BeforeMethod
+  public void createFleet() {
+    messages.clear();
+    decisions.clear();
+    fleet = new LimitFleet(1, 3, LimitSettings.of(3), messages::add);
+    fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
+  }
+
+  @Test
+  public void freshOwnerStartsEmpty() {
+    fleet.own(vm(0), 0, FOREVER_MILLIS);
+    fleet.time.advance(50);
+    request(0, "a");
+    assertTrue(decisions.getFirst() instanceof LimitDecision.Refused);
+  }
+
+  @Test
+  public void refusalTellsWhenToRetry() {
+    fleet.own(vm(0), 0, FOREVER_MILLIS);
+    fleet.time.advance(10);
+    request(0, "a");
+    LimitDecision.Refused refused = (LimitDecision.Refused) decisions.getFirst();
+    assertEquals(refused.reason(), RefusalReason.RATE_EXCEEDED);
+    assertTrue(refused.retryAfterMillis() > 0 && refused.retryAfterMillis() <= 130);
+  }
+
+  @Test
+  public void retryAtTheSameVmCountsOnce() {
+    ownedAndFull();
+    request(1, "a");
+    request(1, "a");
+    assertEquals(decisions.get(0), new LimitDecision.Admitted(false));
+    assertEquals(decisions.get(1), new LimitDecision.Admitted(true));
+  }
+
+  @Test
+  public void retryAtAnotherVmCountsOnce() {
+    ownedWithoutReserves();
+    request(1, "a");
+    fleet.time.advance(400);
+    request(2, "a");
+    assertEquals(decisions.getLast(), new LimitDecision.Admitted(true));
+  }
+
+  @Test
+  public void retriesOfOneRequestAreNotFreeForEver() {
+    ownedAndFull();
+    for (int i = 0; i < 12; i++) {
+      request(1, "a");
+      fleet.time.advance(400);
+    }
+    long free = decisions.stream().filter(new LimitDecision.Admitted(true)::equals).count();
+    assertTrue(free <= 2 * RequestMemory.MAX_RETRIES, free + " retries were not counted");
+  }
+
+  @Test
+  public void cutOffVmServesFromItsReserve() {
+    ownedAndFull();
+    fleet.isolate(vm(1), true);
+    request(1, "a");
+    request(1, "b");
+    request(1, "c");
+    fleet.time.advance(LimitTimes.ASK_TIMEOUT_MILLIS + 50);
+    assertEquals(decisions.get(0), new LimitDecision.Admitted(false));
+    assertEquals(decisions.get(1), new LimitDecision.Admitted(false));
+    assertTrue(decisions.get(2) instanceof LimitDecision.Refused);
+  }
+
+  @Test
+  public void loweredBurstTakesEffectAtOnce() {
+    ownedAndFull();
+    fleet.apply(Map.of(HOTEL, new RateLimit(10, 1)));
+    assertTrue(fleet.at(vm(0)).ownedTokens(HOTEL) <= 1);
+    assertEquals(fleet.at(vm(1)).reservedTokens(HOTEL), 0);
+  }
+
+  @Test
+  public void raisedBurstDoesNotFillAtOnce() {
+    ownedAndFull();
+    fleet.apply(Map.of(HOTEL, new RateLimit(10, 300)));
+    assertTrue(fleet.at(vm(0)).ownedTokens(HOTEL) <= 30);
+  }
+
+  @Test
+  public void removedAndRestoredOrganisationStartsEmpty() {
+    ownedAndFull();
+    fleet.apply(Map.of());
+    fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
+    assertEquals(fleet.at(vm(0)).ownedTokens(HOTEL), 0);
+    assertEquals(fleet.at(vm(1)).reservedTokens(HOTEL), 0);
+  }
+
+  @Test
+  public void replayedMessagesMintNoTokens() {
+    ownedWithoutReserves();
+    for (int i = 0; i < 6; i++) {
+      request(1, "a" + i);
+    }
+    fleet.at(vm(1)).release();
+    fleet.time.advance(5);
+    long before = fleet.at(vm(0)).ownedTokens(HOTEL);
+    for (PeerMessage message : List.copyOf(messages)) {
+      if (message instanceof LimitMessage.Ask ask) {
+        LimitMessage.Ask closes = new LimitMessage.Ask(ask.askId(), List.of(), ask.closes());
+        fleet.at(vm(0)).receive(vm(1), closes);
+      }
+    }
+    assertEquals(fleet.at(vm(0)).ownedTokens(HOTEL), before);
+  }
+
+  @Test
+  public void permitOfPausedHolderIsNotUsedAfterItsExpiry() {
+    ownedWithoutReserves();
+    for (int i = 0; i < 8; i++) {
+      request(1, "a" + i);
+    }
+    assertTrue(fleet.at(vm(1)).heldTokens(HOTEL) > 0);
+    fleet.clock(vm(1)).pause();
+    fleet.time.advance(5_000);
+    assertEquals(fleet.at(vm(1)).heldTokens(HOTEL), 0);
+  }
+
+  @Test
+  public void answerThatWasNotAskedForIsCountedAndIgnored() {
+    ownedAndFull();
+    LimitMessage.Grant forged = new LimitMessage.Grant(true, 7, 500, 2_000, false, 0, List.of());
+    fleet.at(vm(1)).receive(vm(2), new LimitMessage.Answer(7, List.of(forged)));
+    assertEquals(fleet.at(vm(1)).heldTokens(HOTEL), 0);
+    assertEquals(fleet.at(vm(1)).counters().unexpectedMessages(), 1);
+  }
+
+  @Test
+  public void stoppingVmReturnsItsTokens() {
+    ownedWithoutReserves();
+    for (int i = 0; i < 8; i++) {
+      request(1, "a" + i);
+    }
+    fleet.at(vm(1)).release();
+    fleet.time.advance(10);
+    assertEquals(fleet.at(vm(1)).heldTokens(HOTEL), 0);
+    assertTrue(fleet.at(vm(0)).ownedTokens(HOTEL) >= 24 - 8);
+  }
+
+  @Test
+  public void organisationInsideItsRateIsNotRefused() {
+    ownedAndFull();
+    for (int i = 0; i < 500; i++) {
+      fleet.time.advance(115);
+      request(i % 3, "r" + i);
+    }
+    assertFalse(decisions.stream().anyMatch(LimitDecision.Refused.class::isInstance));
+  }
+
+  @Test
+  public void unknownOrganisationIsRefused() {
+    fleet.request(vm(0), new OrganisationId("nobody"), "a", decisions::add);
+    LimitDecision.Refused refused = (LimitDecision.Refused) decisions.getFirst();
+    assertEquals(refused.reason(), RefusalReason.UNKNOWN_ORGANISATION);
+  }
+
+  private void ownedAndFull() {
+    fleet.own(vm(0), 0, FOREVER_MILLIS);
+    fleet.time.advance(20_000);
+  }
+
+  private void ownedWithoutReserves() {
+    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), messages::add);
+    fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
+    ownedAndFull();
+  }
+
+  private void request(int vm, String request) {
+    fleet.request(vm(vm), HOTEL, request, decisions::add);
+    fleet.time.advance(10);
+  }
+
+  private VmId vm(int index) {
+    return fleet.vms.get(index);
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/TokenBucketTest.java
@@ -0,0 +1,59 @@
+package org.ragworttide.coordination.limits;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** Tests the arithmetic of the bucket, the shares and the clock bound. */
+public class TokenBucketTest {
+
+  @Test
+  public void outstandingTokensHoldBackTheRefill() {
+    TokenBucket bucket = new TokenBucket(new RateLimit(10, 5), 0);
+    bucket.refill(10_000);
+    assertEquals(bucket.lend(5), 5);
+    bucket.refill(20_000);
+    assertEquals(bucket.wholeTokens(), 0);
+    bucket.settle(5, 2);
+    assertEquals(bucket.wholeTokens(), 2);
+  }
+
+  @Test
+  public void refillOfFastClockStaysWithinTheRate() {
+    TokenBucket bucket = new TokenBucket(new RateLimit(1_000, 1_000_000), 0);
+    bucket.refill(100_100);
+    assertTrue(bucket.wholeTokens() <= 100_000, "tokens " + bucket.wholeTokens());
+  }
+
+  @Test
+  public void veryLongIdleTimeFillsWithoutOverflow() {
+    TokenBucket bucket = new TokenBucket(new RateLimit(1_000_000, 1_000_000_000), 0);
+    bucket.refill(Long.MAX_VALUE / 2);
+    assertEquals(bucket.wholeTokens(), 1_000_000_000);
+  }
+
+  @Test
+  public void sharesNeverExceedTheLimit() {
+    RateLimit limit = new RateLimit(37, 113);
+    LimitShares shares = LimitShares.of(limit, LimitSettings.of(7));
+    assertEquals(shares.owner().burst() + 7 * shares.reserve().burst(), 113.0, 1e-9);
+    assertEquals(shares.owner().ratePerSecond() + 7 * shares.reserve().ratePerSecond(), 37, 1e-9);
+  }
+
+  @Test
+  public void ownerHasEverythingWhereReservesWouldHoldNoWholeToken() {
+    RateLimit limit = new RateLimit(2, 6);
+    LimitShares shares = LimitShares.of(limit, LimitSettings.of(350));
+    assertEquals(shares.owner(), limit);
+    assertEquals(shares.reserve(), RateLimit.NOTHING);
+  }
+
+  @Test
+  public void stretchedPermitsEndWithinTheOwnership() {
+    for (long remaining = 0; remaining < 5_000; remaining++) {
+      long permit = ClockRate.shortened(remaining);
+      assertTrue(permit == 0 || ClockRate.stretched(permit) <= remaining, "remaining " + remaining);
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/net/VmClock.java
@@ -0,0 +1,100 @@
+package org.ragworttide.coordination.net;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.PeerMessage;
+import org.ragworttide.coordination.time.ManualTimerService;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * Gives one state machine its own clock: off in rate, started at another origin, and pausable.
+ *
+ * <p>Invariant: while paused nothing runs, but the time goes on, as under SIGSTOP; once stopped
+ * nothing runs any more. Not safe for use by several threads.
+ */
+public final class VmClock implements TimerService {
+  private static final long MILLION = 1_000_000;
+
+  private final ManualTimerService base;
+  private final long millionths;
+  private final List<Runnable> deferred = new ArrayList<>();
+  private long originMillis;
+  private boolean paused;
+  private boolean stopped;
+
+  /** Creates a clock that runs too fast by the given millionths and starts at the origin. */
+  public VmClock(ManualTimerService base, long fastMillionths, long originMillis) {
+    this.base = base;
+    this.millionths = MILLION + fastMillionths;
+    this.originMillis = originMillis;
+  }
+
+  @Override
+  public long nowMillis() {
+    return localAt(base.nowMillis());
+  }
+
+  /** Returns this clock's reading at a time of the base clock. */
+  public long localAt(long baseMillis) {
+    return originMillis + Math.floorDiv(baseMillis * millionths, MILLION);
+  }
+
+  /** Lets the reading jump forward. */
+  public void jump(long millis) {
+    originMillis += millis;
+  }
+
+  @Override
+  public Subscription after(long delayMillis, Runnable task) {
+    return base.after(baseDelay(delayMillis), deferrable(task));
+  }
+
+  @Override
+  public Subscription every(long periodMillis, Runnable task) {
+    return base.every(Math.max(1, baseDelay(periodMillis)), deferrable(task));
+  }
+
+  /** Wraps a receiver so that messages wait while the process is paused. */
+  public BiConsumer<VmId, PeerMessage> guard(BiConsumer<VmId, PeerMessage> receiver) {
+    return (from, message) -> deferrable(() -> receiver.accept(from, message)).run();
+  }
+
+  /** Pauses everything. */
+  public void pause() {
+    paused = true;
+  }
+
+  /** Resumes and runs what fell due or arrived in the meantime. */
+  public void resume() {
+    paused = false;
+    List<Runnable> late = List.copyOf(deferred);
+    deferred.clear();
+    late.forEach(Runnable::run);
+  }
+
+  /** Ends the process for good. */
+  public void stop() {
+    stopped = true;
+  }
+
+  /** Returns whether the process runs now. */
+  public boolean isRunning() {
+    return !paused && !stopped;
+  }
+
+  private Runnable deferrable(Runnable task) {
+    return () -> {
+      if (paused) {
+        deferred.add(task);
+      } else if (!stopped) {
+        task.run();
+      }
+    };
+  }
+
+  private long baseDelay(long delayMillis) {
+    return Math.ceilDiv(delayMillis * MILLION, millionths);
+  }
+}
