Route chats by rendezvous hashing with bounded loads

Cause: a chat should return to the engine that holds its prefix through any entry VM, and no engine may get more than a multiple of the mean.

A bound on each daemon's own requests alone rounds badly when a daemon sees a sliver: with a local mean below one request an engine the bound is either one for every daemon or closes the engine to most of them. The router therefore works on the lagging load reports, to which it adds its own unreported starts, scaled by how well its own sample stands for the fleet. Between the soft and the hard multiple an engine sheds a fixed set of chats, chosen by a hash of chat and engine, so that all daemons shed the same ones. The bound on own requests, rounded by the daemon's rank, remains for engines whose report is stale.

Impossible facts are counted and ignored. Gates (cold, failing) hold single upstreams back without the router knowing why.

On a scratch copy RouterTest failed for each of these mutations: closed upstreams stay candidates; no ramp by chat; no bound; negative loads accepted; a slot released twice; an order that depends on the place in the list. The second and the last first passed unseen; the two tests were sharpened for them (engines that return report no load; an engine vanishes from the list).

--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
@@ -0,0 +1,186 @@
+package org.ragworttide.coordination.routing;
+
+import java.util.Arrays;
+import java.util.List;
+import org.ragworttide.coordination.hash.Rendezvous;
+
+/**
+ * The upstreams of one model with what a single decision computes over them.
+ *
+ * <p>Invariant: the order of two candidates for a chat is the same on every daemon and does not
+ * depend on the other candidates. The scratch arrays belong to the decision in progress. Confined
+ * to the coordination thread.
+ */
+final class CandidateSet {
+  private static final double MIN_SHARE = 0.02;
+  private static final long VISITED = Long.MIN_VALUE;
+
+  private final UpstreamTracker[] trackers;
+  private final long[] weights;
+  private final double[] shares;
+  private final RouterSettings settings;
+  private int open;
+  private int eligible;
+  private double maxShare;
+  private double meanLoad;
+  private double meanOwn;
+  private double scale;
+
+  CandidateSet(List<UpstreamTracker> trackers, RouterSettings settings) {
+    this.trackers = trackers.toArray(UpstreamTracker[]::new);
+    this.weights = new long[this.trackers.length];
+    this.shares = new double[this.trackers.length];
+    this.settings = settings;
+  }
+
+  int open() {
+    return open;
+  }
+
+  int eligible() {
+    return eligible;
+  }
+
+  UpstreamTracker tracker(int index) {
+    return trackers[index];
+  }
+
+  double meanLoad() {
+    return meanLoad;
+  }
+
+  /** Starts a decision: weighs the candidates and works out the mean load. */
+  void begin(long key, RouteRequest request, FleetShare fleet, long nowMillis) {
+    open = 0;
+    eligible = 0;
+    maxShare = MIN_SHARE;
+    final boolean firstTry = request.tried().isEmpty();
+    long reported = 0;
+    long unreported = 0;
+    long own = 0;
+    double freshShares = 0;
+    int fresh = 0;
+    for (int i = 0; i < trackers.length; i++) {
+      UpstreamTracker tracker = trackers[i];
+      weights[i] = VISITED;
+      shares[i] = 0;
+      if (!tracker.isOpen()) {
+        continue;
+      }
+      open++;
+      own += tracker.inFlight();
+      double share = Math.max(MIN_SHARE, tracker.share(nowMillis, settings.rampMillis()));
+      shares[i] = share;
+      maxShare = Math.max(maxShare, share);
+      if (tracker.isFresh(nowMillis, settings.reportStaleMillis())) {
+        fresh++;
+        freshShares += share;
+        reported += tracker.reported();
+        unreported += tracker.unreported();
+      }
+      if (firstTry || !request.tried().contains(tracker.spec().id())) {
+        eligible++;
+        weights[i] = Math.max(VISITED + 1, Rendezvous.weight(key, tracker.hash));
+      }
+    }
+    scale = fresh == 0 ? 1 : fleet.scale((double) unreported / fresh);
+    meanLoad = fresh == 0 ? 0 : (reported + scale * unreported + 1) * maxShare / freshShares;
+    meanOwn = open == 0 ? 0 : (own + 1.0) / open;
+  }
+
+  /** Returns the next candidate in the chat's order and takes it out, or -1. */
+  int next() {
+    int best = -1;
+    long bestWeight = VISITED;
+    for (int i = 0; i < weights.length; i++) {
+      if (weights[i] > bestWeight) {
+        bestWeight = weights[i];
+        best = i;
+      }
+    }
+    if (best >= 0) {
+      weights[best] = VISITED;
+    }
+    return best;
+  }
+
+  /**
+   * Returns the index of a hinted upstream if it stands early enough in the chat's order, or -1.
+   */
+  int hinted(long upstreamHash) {
+    for (int i = 0; i < trackers.length; i++) {
+      if (trackers[i].hash == upstreamHash && weights[i] != VISITED) {
+        return rank(i) < settings.walkLength() ? i : -1;
+      }
+    }
+    return -1;
+  }
+
+  private int rank(int index) {
+    int before = 0;
+    for (long weight : weights) {
+      if (weight > weights[index]) {
+        before++;
+      }
+    }
+    return before;
+  }
+
+  /** Tells whether the candidate takes the chat under its bound. */
+  boolean accepts(int index, long key, FleetShare fleet, long nowMillis) {
+    UpstreamTracker tracker = trackers[index];
+    double share = shares[index] / maxShare;
+    double threshold = chatThreshold(key, tracker.hash);
+    if (threshold >= share || !hasRoom(index)) {
+      return false;
+    }
+    if (!tracker.isFresh(nowMillis, settings.reportStaleMillis())) {
+      double bound = settings.loadMultiple() * share * meanOwn;
+      return tracker.inFlight() + 1 <= Math.floor(bound + fleet.roundingOffset(tracker.hash));
+    }
+    double hard = Math.max(1, settings.loadMultiple() * share * meanLoad);
+    double soft = settings.softMultiple() * share * meanLoad;
+    double load = tracker.estimate(scale);
+    return load + 1 <= hard && (load <= soft || threshold < (hard - load) / (hard - soft));
+  }
+
+  /** Tells whether the candidate is below the load at which it begins to shed chats. */
+  boolean isBelowSoftBound(int index) {
+    double share = shares[index] / maxShare;
+    return trackers[index].estimate(scale) <= settings.softMultiple() * share * meanLoad;
+  }
+
+  /** Tells whether the candidate is below its limit of concurrent requests. */
+  boolean hasRoom(int index) {
+    return trackers[index].estimate(scale) + 1 <= trackers[index].spec().maxInFlight();
+  }
+
+  /** Returns the eligible candidates with room from the least to the most loaded. */
+  int[] byLoad(long key, RouteRequest request) {
+    long[] order = new long[trackers.length];
+    int count = 0;
+    for (int i = 0; i < trackers.length; i++) {
+      boolean tried = request.tried().contains(trackers[i].spec().id());
+      if (trackers[i].isOpen() && !tried && hasRoom(i)) {
+        order[count++] = loadKey(i, key);
+      }
+    }
+    Arrays.sort(order, 0, count);
+    int[] indexes = new int[count];
+    for (int i = 0; i < count; i++) {
+      indexes[i] = (int) (order[i] & 0xffff);
+    }
+    return indexes;
+  }
+
+  private long loadKey(int index, long key) {
+    double load = (trackers[index].estimate(scale) + 1) / shares[index];
+    long tieBreak = Rendezvous.weight(trackers[index].hash, key) & 0xffff;
+    return ((long) Math.min(load, 1e8) << 32) | (tieBreak << 16) | index;
+  }
+
+  /** Returns a number in [0, 1) of the chat at the upstream, independent of its order. */
+  private static double chatThreshold(long key, long upstreamHash) {
+    return (Rendezvous.weight(upstreamHash, key) >>> 11) * 0x1.0p-53;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/Router.java
@@ -0,0 +1,110 @@
+package org.ragworttide.coordination.routing;
+
+import org.ragworttide.coordination.hash.Rendezvous;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * Chooses the upstream of each request: a chat's own engine while it is in service and not above
+ * its bound, else the chat's next one.
+ *
+ * <p>Invariants: an upstream that is leaving, in a zone that is out, tried before or held back by
+ * the gate is never chosen; with the same facts every daemon chooses the same upstream for a chat.
+ * Confined to the coordination thread.
+ */
+public final class Router {
+  private final TimerService time;
+  private final RouterSettings settings;
+  private final UpstreamGate gate;
+  private final RoutingState state;
+
+  /**
+   * Creates a router that knows no upstream yet.
+   *
+   * @param time the time
+   * @param settings the settings of the fleet
+   * @param gate holds requests back from cold or failing upstreams
+   */
+  public Router(TimerService time, RouterSettings settings, UpstreamGate gate) {
+    this.time = time;
+    this.settings = settings;
+    this.gate = gate;
+    this.state = new RoutingState(settings);
+  }
+
+  /** Returns where input facts go. */
+  public RoutingFacts facts() {
+    return new RoutingFacts(state, settings, time);
+  }
+
+  /** Returns what can be read without changing anything. */
+  public RoutingView view() {
+    return new RoutingView(state);
+  }
+
+  /** Chooses an upstream and takes a slot there, or says why none may take the request. */
+  public RouteResult route(RouteRequest request) {
+    CandidateSet set = state.candidates(request.model());
+    if (set == null) {
+      return refused(RefusalReason.NO_UPSTREAM);
+    }
+    long now = time.nowMillis();
+    long key = Rendezvous.hash(request.chat().value());
+    set.begin(key, request, state.fleet(), now);
+    if (set.eligible() == 0) {
+      return refused(set.open() == 0 ? RefusalReason.OUT_OF_SERVICE : RefusalReason.ALL_TRIED);
+    }
+    Slot slot = takeHinted(set, key, now);
+    if (slot == null) {
+      slot = takeInOrder(set, key, now);
+    }
+    return slot == null ? takeLeastLoaded(set, key, request, now) : new RouteResult.Chosen(slot);
+  }
+
+  private Slot takeHinted(CandidateSet set, long key, long now) {
+    long hint = state.hints().find(key);
+    if (hint == HintTable.NONE) {
+      return null;
+    }
+    int index = set.hinted(hint);
+    if (index < 0 || !set.isBelowSoftBound(index)) {
+      return null;
+    }
+    return set.accepts(index, key, state.fleet(), now) ? take(set, index, now) : null;
+  }
+
+  private Slot takeInOrder(CandidateSet set, long key, long now) {
+    for (int step = 0; step < settings.walkLength(); step++) {
+      int index = set.next();
+      if (index < 0) {
+        return null;
+      }
+      if (set.accepts(index, key, state.fleet(), now)) {
+        Slot slot = take(set, index, now);
+        if (slot != null) {
+          return slot;
+        }
+      }
+    }
+    return null;
+  }
+
+  private RouteResult takeLeastLoaded(CandidateSet set, long key, RouteRequest request, long now) {
+    int[] order = set.byLoad(key, request);
+    for (int index : order) {
+      Slot slot = take(set, index, now);
+      if (slot != null) {
+        return new RouteResult.Chosen(slot);
+      }
+    }
+    return refused(order.length == 0 ? RefusalReason.OVERLOADED : RefusalReason.HELD_BACK);
+  }
+
+  private Slot take(CandidateSet set, int index, long now) {
+    UpstreamTracker tracker = set.tracker(index);
+    return gate.tryEnter(tracker.spec().id()) ? tracker.add(gate, now) : null;
+  }
+
+  private RouteResult refused(RefusalReason reason) {
+    return new RouteResult.Refused(reason, settings.retryAfterMillis());
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/RouterSettings.java
@@ -0,0 +1,73 @@
+package org.ragworttide.coordination.routing;
+
+/**
+ * The settings of a router, the same on every daemon.
+ *
+ * <p>Invariant: 1 &lt;= softMultiple &lt; loadMultiple. Immutable, safe for use by any thread.
+ *
+ * @param loadMultiple no engine gets new work above this multiple of the mean load
+ * @param softMultiple above this multiple of the mean load an engine begins to shed chats
+ * @param walkLength candidates of a chat that are tried before the least loaded engine is taken
+ * @param reportStaleMillis age at which a load report is no longer used
+ * @param futureToleranceMillis how far ahead of now a report may claim to be measured
+ * @param rampMillis how long an engine that returns takes to get its whole share
+ * @param maxPlausibleLoad greatest count that a report may hold
+ * @param hintEntries chats whose place is remembered as a hint
+ * @param retryAfterMillis what a refusal tells to wait
+ */
+public record RouterSettings(
+    double loadMultiple,
+    double softMultiple,
+    int walkLength,
+    long reportStaleMillis,
+    long futureToleranceMillis,
+    long rampMillis,
+    long maxPlausibleLoad,
+    int hintEntries,
+    long retryAfterMillis) {
+
+  /** The settings for engines that report about once a second. */
+  public static final RouterSettings DEFAULTS =
+      new RouterSettings(1.5, 1.2, 8, 10_000, 1_000, 60_000, 100_000, 1 << 16, 250);
+
+  /** Checks that the settings fit together. */
+  public RouterSettings {
+    if (!(softMultiple >= 1 && softMultiple < loadMultiple)) {
+      throw new IllegalArgumentException("1 <= softMultiple < loadMultiple is required");
+    }
+    if (walkLength <= 0 || reportStaleMillis <= 0 || rampMillis <= 0 || retryAfterMillis <= 0) {
+      throw new IllegalArgumentException("lengths and times must be positive");
+    }
+    if (futureToleranceMillis < 0 || maxPlausibleLoad <= 0 || hintEntries < 0) {
+      throw new IllegalArgumentException("tolerances must not be negative");
+    }
+  }
+
+  /** Returns the settings with other multiples of the mean load. */
+  public RouterSettings withMultiples(double soft, double load) {
+    return new RouterSettings(
+        load,
+        soft,
+        walkLength,
+        reportStaleMillis,
+        futureToleranceMillis,
+        rampMillis,
+        maxPlausibleLoad,
+        hintEntries,
+        retryAfterMillis);
+  }
+
+  /** Returns the settings with room for another number of hints. */
+  public RouterSettings withHintEntries(int entries) {
+    return new RouterSettings(
+        loadMultiple,
+        softMultiple,
+        walkLength,
+        reportStaleMillis,
+        futureToleranceMillis,
+        rampMillis,
+        maxPlausibleLoad,
+        entries,
+        retryAfterMillis);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingView.java
@@ -0,0 +1,32 @@
+package org.ragworttide.coordination.routing;
+
+import java.util.Optional;
+import org.ragworttide.coordination.id.UpstreamId;
+
+/**
+ * Reads what a router knows, for metrics and explanations.
+ *
+ * <p>Invariant: reading changes nothing. Confined to the coordination thread.
+ */
+public final class RoutingView {
+  private final RoutingState state;
+
+  RoutingView(RoutingState state) {
+    this.state = state;
+  }
+
+  /** Returns this daemon's requests in flight at the upstream. */
+  public int inFlight(UpstreamId upstream) {
+    return Optional.ofNullable(state.tracker(upstream)).map(UpstreamTracker::inFlight).orElse(0);
+  }
+
+  /** Tells whether the upstream takes new work. */
+  public boolean isOpen(UpstreamId upstream) {
+    return Optional.ofNullable(state.tracker(upstream)).map(UpstreamTracker::isOpen).orElse(false);
+  }
+
+  /** Returns how many input facts were ignored for the reason. */
+  public long ignored(IgnoredFact reason) {
+    return state.ignored(reason);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/Slot.java
@@ -0,0 +1,43 @@
+package org.ragworttide.coordination.routing;
+
+import org.ragworttide.coordination.id.UpstreamId;
+
+/**
+ * The place of one request in flight at an upstream.
+ *
+ * <p>Invariant: it counts from the decision until its first release; releasing again has no effect.
+ * Confined to the coordination thread.
+ */
+public final class Slot {
+  final long startedAtMillis;
+  Slot older;
+  Slot newer;
+  private final UpstreamTracker tracker;
+  private final UpstreamGate gate;
+  private boolean released;
+
+  Slot(UpstreamTracker tracker, UpstreamGate gate, long startedAtMillis) {
+    this.tracker = tracker;
+    this.gate = gate;
+    this.startedAtMillis = startedAtMillis;
+  }
+
+  /** Returns the upstream that the request goes to. */
+  public UpstreamId upstream() {
+    return tracker.spec().id();
+  }
+
+  /** Returns when the decision was made. */
+  public long startedAtMillis() {
+    return startedAtMillis;
+  }
+
+  /** Gives the place back when the request has ended in any way. */
+  public void release() {
+    if (!released) {
+      released = true;
+      tracker.remove(this);
+      gate.leave(upstream());
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamGate.java
@@ -0,0 +1,27 @@
+package org.ragworttide.coordination.routing;
+
+import java.util.List;
+import org.ragworttide.coordination.id.UpstreamId;
+
+/**
+ * Holds requests back from single upstreams, such as cold or failing ones.
+ *
+ * <p>Invariant: each successful {@link #tryEnter} is followed by one {@link #leave}. Confined to
+ * the coordination thread.
+ */
+public interface UpstreamGate {
+
+  /** Admits all requests. */
+  UpstreamGate OPEN = all(List.of());
+
+  /** Takes a place at the upstream, if it has one for this daemon. */
+  boolean tryEnter(UpstreamId upstream);
+
+  /** Gives the place at the upstream back. */
+  void leave(UpstreamId upstream);
+
+  /** Returns a gate that admits what all the given gates admit. */
+  static UpstreamGate all(List<? extends UpstreamGate> gates) {
+    return new CombinedGate(gates);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamTracker.java
@@ -0,0 +1,142 @@
+package org.ragworttide.coordination.routing;
+
+import org.ragworttide.coordination.hash.Rendezvous;
+
+/**
+ * Keeps what a daemon knows of one upstream: the last report and its own requests in flight.
+ *
+ * <p>Invariant: the slots form a list from the oldest to the newest, and {@code unreported} counts
+ * those that started after the last report was measured. Confined to the coordination thread.
+ */
+final class UpstreamTracker {
+  static final long NEVER = Long.MIN_VALUE;
+
+  final long hash;
+  private UpstreamSpec spec;
+  private boolean open;
+  private long rampStartMillis = NEVER;
+  private long measuredAtMillis = NEVER;
+  private long incarnation;
+  private long reported;
+  private long lastCacheSequence = NEVER;
+  private int inFlight;
+  private int unreported;
+  private Slot newest;
+
+  UpstreamTracker(UpstreamSpec spec) {
+    this.spec = spec;
+    this.hash = Rendezvous.hash(spec.id().value());
+  }
+
+  UpstreamSpec spec() {
+    return spec;
+  }
+
+  void spec(UpstreamSpec newSpec) {
+    this.spec = newSpec;
+  }
+
+  /** Opens or closes the upstream to new work; a ramp begins when it opens again. */
+  void open(boolean nowOpen, boolean ramp, long nowMillis) {
+    if (nowOpen && !open && ramp) {
+      rampStartMillis = nowMillis;
+    }
+    open = nowOpen;
+  }
+
+  boolean isOpen() {
+    return open;
+  }
+
+  int inFlight() {
+    return inFlight;
+  }
+
+  boolean isFresh(long nowMillis, long staleMillis) {
+    return measuredAtMillis != NEVER && nowMillis - measuredAtMillis <= staleMillis;
+  }
+
+  long measuredAtMillis() {
+    return measuredAtMillis;
+  }
+
+  /** Takes a report over and tells whether the engine's process is a new one. */
+  boolean report(LoadReport report) {
+    final boolean restarted = measuredAtMillis != NEVER && report.incarnation() != incarnation;
+    incarnation = report.incarnation();
+    measuredAtMillis = report.measuredAtMillis();
+    reported = report.running() + report.waiting();
+    unreported = 0;
+    for (Slot s = newest; s != null && s.startedAtMillis > measuredAtMillis; s = s.older) {
+      unreported++;
+    }
+    return restarted;
+  }
+
+  void restartRamp(long nowMillis) {
+    rampStartMillis = nowMillis;
+  }
+
+  /** Takes a cache event's number over unless a later one has come. */
+  boolean cacheSequence(long sequence) {
+    if (sequence <= lastCacheSequence) {
+      return false;
+    }
+    lastCacheSequence = sequence;
+    return true;
+  }
+
+  void forgetCacheSequence() {
+    lastCacheSequence = NEVER;
+  }
+
+  long reported() {
+    return reported;
+  }
+
+  int unreported() {
+    return unreported;
+  }
+
+  /** Returns the load over all daemons, own unreported starts counted {@code scale} times. */
+  double estimate(double scale) {
+    return Math.max(reported + scale * unreported, inFlight);
+  }
+
+  /** Returns the share of its work that the upstream gets while it returns, up to 1. */
+  double share(long nowMillis, long rampMillis) {
+    if (rampStartMillis == NEVER || nowMillis - rampStartMillis >= rampMillis) {
+      return 1;
+    }
+    return (double) (nowMillis - rampStartMillis) / rampMillis;
+  }
+
+  Slot add(UpstreamGate gate, long nowMillis) {
+    Slot slot = new Slot(this, gate, nowMillis);
+    slot.older = newest;
+    if (newest != null) {
+      newest.newer = slot;
+    }
+    newest = slot;
+    inFlight++;
+    if (nowMillis > measuredAtMillis) {
+      unreported++;
+    }
+    return slot;
+  }
+
+  void remove(Slot slot) {
+    if (slot.newer == null) {
+      newest = slot.older;
+    } else {
+      slot.newer.older = slot.older;
+    }
+    if (slot.older != null) {
+      slot.older.newer = slot.newer;
+    }
+    inFlight--;
+    if (slot.startedAtMillis > measuredAtMillis) {
+      unreported--;
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/routing/RouterTest.java
@@ -0,0 +1,210 @@
+package org.ragworttide.coordination.routing;
+
+import static org.ragworttide.coordination.routing.RouterFixture.ENGINES;
+import static org.ragworttide.coordination.routing.RouterFixture.MODEL;
+import static org.ragworttide.coordination.routing.RouterFixture.chosen;
+import static org.ragworttide.coordination.routing.RouterFixture.id;
+import static org.ragworttide.coordination.routing.RouterFixture.request;
+import static org.ragworttide.coordination.routing.RouterFixture.spec;
+import static org.ragworttide.coordination.routing.RouterFixture.specs;
+import static org.ragworttide.coordination.routing.RouterFixture.zone;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ragworttide.coordination.id.ChatId;
+import org.ragworttide.coordination.id.ModelId;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.testng.annotations.Test;
+
+/** Tests single decisions of the router. */
+public class RouterTest {
+  private static final int CHATS = 400;
+
+  private static UpstreamId place(Router router, String chat) {
+    Slot slot = chosen(router.route(request(chat)));
+    slot.release();
+    return slot.upstream();
+  }
+
+  @Test
+  public void everyDaemonSendsChatToSameEngine() {
+    RouterFixture fleet = new RouterFixture(7);
+    fleet.reportAll(1, 10);
+    for (int chat = 0; chat < CHATS; chat++) {
+      Set<UpstreamId> places = new HashSet<>();
+      for (Router router : fleet.routers) {
+        places.add(place(router, "chat-" + chat));
+      }
+      assertEquals(places.size(), 1, "chat " + chat);
+    }
+  }
+
+  @Test
+  public void engineThatLeavesOrVanishesMovesOnlyItsOwnChats() {
+    RouterFixture fleet = new RouterFixture(1);
+    fleet.reportAll(1, 10);
+    Router router = fleet.routers.getFirst();
+    for (int chat = 0; chat < CHATS; chat++) {
+      router.facts().upstreams(specs(ENGINES));
+      fleet.time.advance(RouterSettings.DEFAULTS.rampMillis());
+      fleet.reportAll(1, 10);
+      final UpstreamId before = place(router, "chat-" + chat);
+      List<UpstreamSpec> changed = specs(ENGINES);
+      if (chat % 2 == 0) {
+        changed.set(4, spec(4, false));
+      } else {
+        changed.remove(4);
+      }
+      router.facts().upstreams(changed);
+      UpstreamId after = place(router, "chat-" + chat);
+      if (before.equals(id(4))) {
+        assertNotEquals(after, id(4));
+      } else {
+        assertEquals(after, before);
+      }
+    }
+  }
+
+  @Test
+  public void zoneTakenOutReceivesNothingAtOnce() {
+    RouterFixture fleet = new RouterFixture(1);
+    Router router = fleet.routers.getFirst();
+    router.facts().zones(Map.of(zone(1), ZoneState.OUT));
+    for (int chat = 0; chat < CHATS; chat++) {
+      UpstreamId place = chosen(router.route(request("chat-" + chat))).upstream();
+      assertNotEquals(RouterFixture.index(place) % 3, 1);
+    }
+  }
+
+  @Test
+  public void returningZoneGetsItsChatsBackGradually() {
+    RouterFixture fleet = new RouterFixture(1);
+    Router router = fleet.routers.getFirst();
+    router.facts().zones(Map.of(zone(1), ZoneState.OUT));
+    router.facts().zones(Map.of());
+    int last = -1;
+    for (int step = 0; step <= 4; step++) {
+      fleet.reportAll(1, 0);
+      int home = 0;
+      for (int chat = 0; chat < CHATS; chat++) {
+        home += RouterFixture.index(place(router, "chat-" + chat)) % 3 == 1 ? 1 : 0;
+      }
+      assertTrue(home >= last, "chats in the zone fell from " + last + " to " + home);
+      assertTrue(step > 0 || home < CHATS / 20, "chats that came at once: " + home);
+      last = home;
+      fleet.time.advance(RouterSettings.DEFAULTS.rampMillis() / 4);
+    }
+    assertTrue(last > CHATS / 5, "chats at home at the end: " + last);
+  }
+
+  @Test
+  public void engineAboveItsBoundGetsNothing() {
+    RouterFixture fleet = new RouterFixture(1);
+    fleet.reportAll(1, 10);
+    fleet.time.advance(1);
+    fleet.report(3, 1, 30);
+    for (int chat = 0; chat < CHATS; chat++) {
+      assertNotEquals(place(fleet.routers.getFirst(), "chat-" + chat), id(3));
+    }
+  }
+
+  @Test
+  public void triedEnginesAreNotChosenAgain() {
+    RouterFixture fleet = new RouterFixture(1);
+    Router router = fleet.routers.getFirst();
+    Set<UpstreamId> tried = new HashSet<>();
+    for (int i = 0; i < ENGINES; i++) {
+      RouteRequest request =
+          new RouteRequest(new ChatId("c"), MODEL, new OrganisationId("o"), Set.copyOf(tried));
+      assertTrue(tried.add(chosen(router.route(request)).upstream()));
+    }
+    RouteRequest last = new RouteRequest(new ChatId("c"), MODEL, new OrganisationId("o"), tried);
+    assertEquals(reason(router.route(last)), RefusalReason.ALL_TRIED);
+  }
+
+  @Test
+  public void refusalsNameTheirReason() {
+    RouterFixture fleet = new RouterFixture(1, new ClosedGate());
+    Router router = fleet.routers.getFirst();
+    assertEquals(reason(router.route(request("a"))), RefusalReason.HELD_BACK);
+    router.facts().zones(Map.of(zone(0), ZoneState.OUT, zone(1), ZoneState.OUT));
+    router.facts().upstreams(List.of(spec(0, true), spec(2, false)));
+    assertEquals(reason(router.route(request("a"))), RefusalReason.OUT_OF_SERVICE);
+    router.facts().upstreams(List.of(spec(2, true)));
+    fleet.report(2, 1, 1000);
+    assertEquals(reason(router.route(request("a"))), RefusalReason.OVERLOADED);
+    RouteRequest other =
+        new RouteRequest(new ChatId("a"), new ModelId("other"), new OrganisationId("o"), Set.of());
+    assertEquals(reason(router.route(other)), RefusalReason.NO_UPSTREAM);
+  }
+
+  @Test
+  public void impossibleFactsAreCountedAndIgnored() {
+    RouterFixture fleet = new RouterFixture(1);
+    Router router = fleet.routers.getFirst();
+    fleet.reportAll(1, 10);
+    final UpstreamId before = place(router, "chat");
+    RoutingFacts facts = router.facts();
+    long now = fleet.time.nowMillis();
+    facts.upstreams(List.of());
+    facts.upstreams(List.of(spec(0, true), spec(0, true)));
+    facts.load(new LoadReport(id(0), 1, now + 1, -1, 0));
+    facts.load(new LoadReport(id(0), 1, now + 1, Long.MAX_VALUE, Long.MAX_VALUE));
+    facts.load(new LoadReport(id(0), 1, now + 3_600_000, 1, 0));
+    facts.load(new LoadReport(id(0), 1, now - 5, 1, 0));
+    facts.load(new LoadReport(new UpstreamId("nobody"), 1, now, 1, 0));
+    facts.cache(new CacheEvent(id(0), 5, new ChatId("other"), true));
+    facts.cache(new CacheEvent(id(0), 4, new ChatId("other"), false));
+    facts.fleet(0, 0);
+    facts.fleet(3, 3);
+    RoutingView view = router.view();
+    assertEquals(view.ignored(IgnoredFact.EMPTY_UPSTREAMS), 1);
+    assertEquals(view.ignored(IgnoredFact.DUPLICATE_UPSTREAM), 1);
+    assertEquals(view.ignored(IgnoredFact.ABSURD_LOAD), 2);
+    assertEquals(view.ignored(IgnoredFact.FUTURE_REPORT), 1);
+    assertEquals(view.ignored(IgnoredFact.OLD_REPORT), 1);
+    assertEquals(view.ignored(IgnoredFact.UNKNOWN_UPSTREAM), 1);
+    assertEquals(view.ignored(IgnoredFact.OLD_CACHE_EVENT), 1);
+    assertEquals(view.ignored(IgnoredFact.ABSURD_FLEET), 2);
+    assertEquals(place(router, "chat"), before);
+  }
+
+  @Test
+  public void releasingTwiceCountsOnce() {
+    RouterFixture fleet = new RouterFixture(1);
+    Router router = fleet.routers.getFirst();
+    List<Slot> slots =
+        List.of(request("a"), request("b"), request("c")).stream()
+            .map(request -> chosen(router.route(request)))
+            .toList();
+    slots.get(1).release();
+    slots.get(1).release();
+    int total = 0;
+    for (int i = 0; i < ENGINES; i++) {
+      total += router.view().inFlight(id(i));
+    }
+    assertEquals(total, 2);
+  }
+
+  private static RefusalReason reason(RouteResult result) {
+    return ((RouteResult.Refused) result).reason();
+  }
+
+  private static final class ClosedGate implements UpstreamGate {
+    @Override
+    public boolean tryEnter(UpstreamId upstream) {
+      return false;
+    }
+
+    @Override
+    public void leave(UpstreamId upstream) {
+      throw new AssertionError("nothing was entered");
+    }
+  }
+}
