Add the HTTP path from callers to upstreams

Callers reach chats and plain services through Reactor Netty; decisions on rate, claim and placement are ports with single-daemon implementations, so that the path runs alone until the coordination library stands behind it.

A non-idempotent request takes a connection of its own and goes on without its caller once sent; weighed against cancelling it with the caller, which can't undo a booking and only loses its answer. Whether a request has run is decided by one gate entered right before its first byte, so that 'not run' can't race with the sending.

--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/DaemonHttp.java
@@ -0,0 +1,76 @@
+package org.ragworttide.daemon;
+
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+import org.ragworttide.daemon.caller.CallerServer;
+import org.ragworttide.daemon.caller.CallerSettings;
+import org.ragworttide.daemon.relay.Relay;
+import org.ragworttide.daemon.relay.RelayPorts;
+import org.ragworttide.daemon.relay.RelaySettings;
+import org.ragworttide.daemon.upstream.UpstreamClient;
+import org.ragworttide.daemon.upstream.UpstreamSettings;
+import org.ragworttide.document.ConfigurationDocument;
+import reactor.core.publisher.Mono;
+
+/**
+ * The HTTP path of a daemon: the callers' listener, the relay and the client towards upstreams.
+ *
+ * <p>Safe for use by any thread.
+ */
+public final class DaemonHttp {
+  private final CallerServer callers;
+  private final UpstreamClient upstreams;
+
+  private DaemonHttp(CallerServer callers, UpstreamClient upstreams) {
+    this.callers = callers;
+    this.upstreams = upstreams;
+  }
+
+  /**
+   * Starts the path.
+   *
+   * @param settings limits and addresses
+   * @param configuration the configuration in force, null as long as there is none
+   * @param ports the decisions to ask for
+   */
+  public static Mono<DaemonHttp> start(
+      Settings settings, Supplier<ConfigurationDocument> configuration, RelayPorts ports) {
+    UpstreamClient upstreams = new UpstreamClient(settings.upstream());
+    Relay relay = new Relay(ports, settings.relay(), upstreams);
+    return CallerServer.start(settings.caller(), configuration, relay)
+        .map(callers -> new DaemonHttp(callers, upstreams));
+  }
+
+  /** Returns the address on which callers are served. */
+  public InetSocketAddress callerAddress() {
+    return callers.address();
+  }
+
+  /** Applies a change of configuration to the requests that run. */
+  public void onConfiguration(ConfigurationDocument old, ConfigurationDocument current) {
+    callers.onConfiguration();
+  }
+
+  /** Stops to listen and closes the connections. */
+  public Mono<Void> close() {
+    return callers.close().then(upstreams.close());
+  }
+
+  /**
+   * Settings of the HTTP path.
+   *
+   * @param caller the listener towards callers
+   * @param relay the relay's limits
+   * @param upstream the client towards upstreams
+   */
+  public record Settings(CallerSettings caller, RelaySettings relay, UpstreamSettings upstream) {
+
+    /** Returns settings with default limits. */
+    public static Settings defaults(String host, int port) {
+      return new Settings(
+          CallerSettings.defaults(host, port),
+          RelaySettings.defaults(),
+          UpstreamSettings.defaults());
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/AnswerWriter.java
@@ -0,0 +1,87 @@
+package org.ragworttide.daemon.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.ragworttide.daemon.decision.RequestId;
+import org.ragworttide.daemon.relay.AnswerPart;
+import org.ragworttide.daemon.relay.Problem;
+import org.ragworttide.daemon.relay.ProblemJson;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Signal;
+import reactor.netty.http.server.HttpServerResponse;
+
+/** Writes answers to callers; stateless, safe for use by any thread. */
+final class AnswerWriter {
+  static final String REQUEST_ID = "Request-Id";
+
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private AnswerWriter() {}
+
+  /** Writes an answer's parts as they come, asking for more only as the caller reads. */
+  static Mono<Void> write(Flux<AnswerPart> parts, HttpServerResponse response, RequestId request) {
+    return parts
+        .switchOnFirst((first, all) -> Flux.from(byKind(first, all, response, request)))
+        .then();
+  }
+
+  private static Mono<Void> byKind(
+      Signal<? extends AnswerPart> first,
+      Flux<AnswerPart> all,
+      HttpServerResponse response,
+      RequestId request) {
+    response.header(REQUEST_ID, request.value());
+    return switch (first.get()) {
+      case AnswerPart.Whole whole -> all.then(whole(whole, response));
+      case AnswerPart.Refusal refusal -> all.then(refusal(refusal.problem(), response, request));
+      case AnswerPart.StreamHead head -> stream(head, all.skip(1), response);
+      case AnswerPart.StreamEvent event -> throw new IllegalStateException("event before head");
+      case null -> all.then();
+    };
+  }
+
+  /** Writes a refusal. */
+  static Mono<Void> refusal(Problem problem, HttpServerResponse response, RequestId request) {
+    byte[] body = ProblemJson.body(problem, request);
+    response
+        .status(problem.code().status())
+        .header(HttpHeaderNames.CONTENT_TYPE, ProblemJson.CONTENT_TYPE);
+    if (problem.retryAfterMillis() > 0) {
+      long seconds = Math.ceilDiv(problem.retryAfterMillis(), MILLIS_PER_SECOND);
+      response.header(HttpHeaderNames.RETRY_AFTER, Long.toString(seconds));
+    }
+    return body(body, response);
+  }
+
+  private static Mono<Void> whole(AnswerPart.Whole whole, HttpServerResponse response) {
+    response.status(whole.status());
+    addHeaders(whole.headers(), response);
+    return body(whole.body(), response);
+  }
+
+  private static Mono<Void> body(byte[] body, HttpServerResponse response) {
+    response.header(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.length));
+    return response.send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body))).then();
+  }
+
+  private static Mono<Void> stream(
+      AnswerPart.StreamHead head, Flux<AnswerPart> events, HttpServerResponse response) {
+    addHeaders(head.headers(), response);
+    response.header(HttpHeaderNames.CACHE_CONTROL, "no-cache");
+    return response.send(events.map(AnswerWriter::buffer), unused -> true).then();
+  }
+
+  private static ByteBuf buffer(AnswerPart part) {
+    if (part instanceof AnswerPart.StreamEvent event) {
+      return Unpooled.wrappedBuffer(event.bytes());
+    }
+    throw new IllegalStateException("a stream consists of events");
+  }
+
+  private static void addHeaders(HttpHeaders headers, HttpServerResponse response) {
+    headers.forEach(header -> response.addHeader(header.getKey(), header.getValue()));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/CallerHandler.java
@@ -0,0 +1,146 @@
+package org.ragworttide.daemon.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import java.util.UUID;
+import java.util.function.BiFunction;
+import org.ragworttide.daemon.decision.PlacementRequest.Target;
+import org.ragworttide.daemon.decision.RequestId;
+import org.ragworttide.daemon.relay.AnswerPart;
+import org.ragworttide.daemon.relay.CallerRequest;
+import org.ragworttide.daemon.relay.HeaderFilter;
+import org.ragworttide.daemon.relay.Problem;
+import org.ragworttide.daemon.relay.ProblemCode;
+import org.ragworttide.daemon.relay.Relay;
+import org.ragworttide.daemon.upstream.UpstreamRequest;
+import org.ragworttide.document.ConfigurationDocument.Route;
+import org.ragworttide.document.ConfigurationDocument.RouteKind;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Handles callers' requests from their head to the end of the answer.
+ *
+ * <p>Invariant: every request gets one answer with its request id. Safe for use by any thread.
+ */
+final class CallerHandler
+    implements BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> {
+  private final IntakeCheck intake;
+  private final BodyReader bodies;
+  private final Relay relay;
+  private final RunningRequests running;
+
+  CallerHandler(IntakeCheck intake, BodyReader bodies, Relay relay, RunningRequests running) {
+    this.intake = intake;
+    this.bodies = bodies;
+    this.relay = relay;
+    this.running = running;
+  }
+
+  @Override
+  public Publisher<Void> apply(HttpServerRequest request, HttpServerResponse response) {
+    RequestId id = requestId(request);
+    RequestHead head =
+        new RequestHead(request.method(), request.uri(), request.requestHeaders().copy());
+    return switch (intake.check(head)) {
+      case Intake.Refused refused -> refuseUnread(refused.problem(), response, id);
+      case Intake.Accepted accepted -> {
+        accepted.chat().ifPresent(chat -> response.header(HeadValues.CHAT_ID, chat.value()));
+        yield bodies
+            .read(head.headers(), request.receive().asByteArray())
+            .flatMap(body -> onBody(body, head, accepted, response, id));
+      }
+    };
+  }
+
+  private static RequestId requestId(HttpServerRequest request) {
+    String given = request.requestHeaders().get(AnswerWriter.REQUEST_ID);
+    return new RequestId(RequestId.isValid(given) ? given : UUID.randomUUID().toString());
+  }
+
+  private Mono<Void> onBody(
+      BodyReader.Result result,
+      RequestHead head,
+      Intake.Accepted accepted,
+      HttpServerResponse response,
+      RequestId id) {
+    return switch (result) {
+      case BodyReader.Result.Refused refused -> refuseUnread(refused.problem(), response, id);
+      case BodyReader.Result.Body body -> {
+        Flux<AnswerPart> parts = parts(head, accepted, body.bytes(), id);
+        yield AnswerWriter.write(parts, response, id);
+      }
+    };
+  }
+
+  private Flux<AnswerPart> parts(
+      RequestHead head, Intake.Accepted accepted, byte[] body, RequestId id) {
+    Route route = accepted.route();
+    if (route.kind() == RouteKind.SERVICE) {
+      Target target = new Target.ServiceRoute(route.id());
+      return run(accepted, request(head, accepted, body, id, target, false));
+    }
+    return switch (ChatBody.read(body)) {
+      case ChatBody.Malformed malformed ->
+          refuse(Problem.notRun(ProblemCode.BAD_BODY, malformed.detail()));
+      case ChatBody.Valid chat -> {
+        Target target = new Target.Model(chat.model(), route.id());
+        yield run(accepted, request(head, accepted, body, id, target, chat.stream()));
+      }
+    };
+  }
+
+  private static CallerRequest request(
+      RequestHead head,
+      Intake.Accepted accepted,
+      byte[] body,
+      RequestId id,
+      Target target,
+      boolean streaming) {
+    Route route = accepted.route();
+    byte[] routeBytes = (route.id() + '\n').getBytes(StandardCharsets.UTF_8);
+    return new CallerRequest(
+        id,
+        accepted.key().map(CallerKey::organisation),
+        accepted.chat(),
+        accepted.requestKey(),
+        accepted.deadline(),
+        target,
+        HexFormat.of().formatHex(KeyRing.sha256(routeBytes, body)),
+        streaming,
+        new UpstreamRequest(
+            head.method(),
+            accepted.target(),
+            HeaderFilter.toUpstream(head.headers(), accepted.presentedKey()),
+            body,
+            route.idempotent()));
+  }
+
+  private Flux<AnswerPart> run(Intake.Accepted accepted, CallerRequest request) {
+    return Flux.using(
+        () -> running.start(accepted.key()),
+        started -> admitted(accepted, request, started),
+        RunningRequests.Running::end);
+  }
+
+  private Flux<AnswerPart> admitted(
+      Intake.Accepted accepted, CallerRequest request, RunningRequests.Running started) {
+    boolean valid = accepted.key().map(intake::stillAdmits).orElse(true);
+    return valid
+        ? relay.answer(request, started.withdrawn())
+        : refuse(Problem.notRun(ProblemCode.KEY_WITHDRAWN, "the key works no longer"));
+  }
+
+  private static Flux<AnswerPart> refuse(Problem problem) {
+    return Flux.just(new AnswerPart.Refusal(problem));
+  }
+
+  private static Mono<Void> refuseUnread(
+      Problem problem, HttpServerResponse response, RequestId id) {
+    response.header(AnswerWriter.REQUEST_ID, id.value()).keepAlive(false);
+    return AnswerWriter.refusal(problem, response, id);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/CallerSettings.java
@@ -0,0 +1,41 @@
+package org.ragworttide.daemon.caller;
+
+/**
+ * Settings of the listener towards callers.
+ *
+ * <p>Immutable, safe for use by any thread.
+ *
+ * @param host the IP number to listen on
+ * @param port the port to listen on, zero for any free one
+ * @param maxTargetBytes longest request line
+ * @param maxHeaderBytes largest head of a request
+ * @param maxBodyBytes largest body of a request
+ * @param bodyTimeoutMillis longest time for a body to arrive
+ * @param idleMillis how long an unused connection is kept
+ */
+public record CallerSettings(
+    String host,
+    int port,
+    int maxTargetBytes,
+    int maxHeaderBytes,
+    int maxBodyBytes,
+    long bodyTimeoutMillis,
+    long idleMillis) {
+
+  /** Checks the ranges. */
+  public CallerSettings {
+    if (port < 0
+        || maxTargetBytes <= 0
+        || maxHeaderBytes <= 0
+        || maxBodyBytes <= 0
+        || bodyTimeoutMillis <= 0
+        || idleMillis <= 0) {
+      throw new IllegalArgumentException("limits of the callers' listener must be positive");
+    }
+  }
+
+  /** Returns the settings used when none are given. */
+  public static CallerSettings defaults(String host, int port) {
+    return new CallerSettings(host, port, 8 << 10, 16 << 10, 1 << 20, 10_000, 60_000);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/IntakeCheck.java
@@ -0,0 +1,94 @@
+package org.ragworttide.daemon.caller;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
+import org.ragworttide.coordination.id.ChatId;
+import org.ragworttide.coordination.id.RequestKey;
+import org.ragworttide.daemon.decision.Deadline;
+import org.ragworttide.daemon.relay.Problem;
+import org.ragworttide.daemon.relay.ProblemCode;
+import org.ragworttide.document.ConfigurationDocument.Route;
+import org.ragworttide.document.ConfigurationDocument.RouteKind;
+
+/**
+ * Checks the head of a request against the configuration in force.
+ *
+ * <p>Invariant: a refusal is of a request that has not run. Safe for use by any thread.
+ */
+final class IntakeCheck {
+  private static final long NOT_READY_RETRY_MILLIS = 1_000;
+
+  private final ConfigurationIndexes indexes;
+
+  IntakeCheck(ConfigurationIndexes indexes) {
+    this.indexes = indexes;
+  }
+
+  /** Checks a head. */
+  Intake check(RequestHead head) {
+    Optional<ConfigurationIndex> index = indexes.current();
+    if (index.isEmpty()) {
+      return new Intake.Refused(
+          Problem.notRun(ProblemCode.NOT_READY, "no configuration yet", NOT_READY_RETRY_MILLIS));
+    }
+    if (!head.uri().startsWith("/")) {
+      return refuse(ProblemCode.BAD_REQUEST, "the request target must be a path");
+    }
+    Optional<Route> route = index.get().route(head.path());
+    if (route.isEmpty()) {
+      return refuse(ProblemCode.ROUTE_UNKNOWN, "no route has this path");
+    }
+    return checkKey(head, route.get(), index.get().keys());
+  }
+
+  /** Returns whether a key that was valid a moment ago still is. */
+  boolean stillAdmits(CallerKey key) {
+    return indexes.current().map(index -> index.keys().stillAdmits(key)).orElse(false);
+  }
+
+  private static Intake checkKey(RequestHead head, Route route, KeyRing keys) {
+    if (route.open()) {
+      return checkForm(head, route, Optional.empty());
+    }
+    return switch (keys.check(head.bearerKey())) {
+      case KeyCheck.Valid valid -> checkForm(head, route, Optional.of(valid.key()));
+      case KeyCheck.Withdrawn withdrawn ->
+          refuse(ProblemCode.KEY_WITHDRAWN, "the key works no longer");
+      case KeyCheck.Unknown unknown ->
+          refuse(ProblemCode.KEY_UNKNOWN, "give a valid key as bearer token");
+    };
+  }
+
+  private static Intake checkForm(RequestHead head, Route route, Optional<CallerKey> key) {
+    if (route.kind() == RouteKind.CHAT && !head.method().equals(HttpMethod.POST)) {
+      return refuse(ProblemCode.METHOD_NOT_ALLOWED, "chats are asked by POST");
+    }
+    Optional<Problem> fault = HeadValues.fault(head.headers(), route);
+    if (fault.isPresent()) {
+      return new Intake.Refused(fault.get());
+    }
+    Optional<String> query = QueryFilter.withoutKeys(head.query(), head.bearerKey());
+    if (query.isEmpty()) {
+      return refuse(ProblemCode.BAD_REQUEST, "the query is malformed");
+    }
+    return accept(head, route, key, query.get());
+  }
+
+  private static Intake accept(
+      RequestHead head, Route route, Optional<CallerKey> key, String query) {
+    HttpHeaders headers = head.headers();
+    return new Intake.Accepted(
+        route,
+        head.bearerKey(),
+        key,
+        Optional.ofNullable(headers.get(HeadValues.CHAT_ID)).map(ChatId::new),
+        Optional.ofNullable(headers.get(HeadValues.IDEMPOTENCY_KEY)).map(RequestKey::new),
+        Deadline.afterMillis(HeadValues.timeoutMillis(headers, route)),
+        query.isEmpty() ? route.path() : route.path() + "?" + query);
+  }
+
+  private static Intake refuse(ProblemCode code, String detail) {
+    return new Intake.Refused(Problem.notRun(code, detail));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/RunningRequests.java
@@ -0,0 +1,52 @@
+package org.ragworttide.daemon.caller;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+import org.ragworttide.daemon.relay.ProblemCode;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/**
+ * The keyed requests that run now, so that a withdrawn key can end them.
+ *
+ * <p>Safe for use by any thread.
+ */
+final class RunningRequests {
+  private final Set<Running> requests = ConcurrentHashMap.newKeySet();
+
+  /** Adds a request; the caller must end it. */
+  Running start(Optional<CallerKey> key) {
+    Running running = new Running(key);
+    requests.add(running);
+    return running;
+  }
+
+  /** Ends the requests whose key is not valid any more. */
+  void endWithdrawn(Predicate<CallerKey> valid) {
+    for (Running running : requests) {
+      if (running.key.isPresent() && !valid.test(running.key.get())) {
+        running.withdrawn.tryEmitValue(ProblemCode.KEY_WITHDRAWN);
+      }
+    }
+  }
+
+  /** A request that runs. */
+  final class Running {
+    private final Optional<CallerKey> key;
+    private final Sinks.One<ProblemCode> withdrawn = Sinks.one();
+
+    private Running(Optional<CallerKey> key) {
+      this.key = key;
+    }
+
+    Mono<ProblemCode> withdrawn() {
+      return withdrawn.asMono();
+    }
+
+    void end() {
+      requests.remove(this);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The listener towards callers. */
+package org.ragworttide.daemon.caller;
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/decision/ClaimHandle.java
@@ -0,0 +1,18 @@
+package org.ragworttide.daemon.decision;
+
+/**
+ * Takes what became of a granted run.
+ *
+ * <p>Invariant: the first report counts, later ones have no effect. Safe for use by any thread.
+ */
+public interface ClaimHandle {
+
+  /** Reports the upstream's answer. */
+  void completed(int status, String contentType, byte[] body);
+
+  /** Reports that no byte of the request can have reached an upstream. */
+  void notRun();
+
+  /** Reports that the request was sent and its answer is not known. */
+  void mayHaveRun();
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/decision/Placement.java
@@ -0,0 +1,14 @@
+package org.ragworttide.daemon.decision;
+
+import reactor.core.publisher.Mono;
+
+/**
+ * Chooses the upstream that runs a request.
+ *
+ * <p>Implementations are safe for use by any thread.
+ */
+public interface Placement {
+
+  /** Asks for an upstream, with a slot on it that the asker must release. */
+  Mono<PlacementDecision> place(PlacementRequest request);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/Attempt.java
@@ -0,0 +1,244 @@
+package org.ragworttide.daemon.relay;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.Locale;
+import java.util.Set;
+import org.ragworttide.daemon.decision.AttemptOutcome;
+import org.ragworttide.daemon.decision.PlacementDecision;
+import org.ragworttide.daemon.upstream.SendGate;
+import org.ragworttide.daemon.upstream.SseEvent;
+import org.ragworttide.daemon.upstream.UpstreamClient;
+import org.ragworttide.daemon.upstream.UpstreamEvent;
+import org.ragworttide.daemon.upstream.UpstreamRequest;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Signal;
+
+/**
+ * Runs a request once on one upstream.
+ *
+ * <p>Invariants: the slot is released whatever happens; the result stands once the parts have
+ * completed. Signals come one at a time.
+ */
+final class Attempt {
+  /** Tells an engine how many content chunks the caller already has. */
+  static final String RESUME_AFTER = "Stream-Resume-After";
+
+  /** Tells an upstream, and this daemon, the milliseconds left. */
+  static final String REQUEST_TIMEOUT = "Request-Timeout-Ms";
+
+  private static final Set<Integer> BUSY_STATUSES = Set.of(502, 503, 504);
+  private static final String EVENT_STREAM = "text/event-stream";
+  private static final int OK = 200;
+  private static final int REDIRECT_MIN = 300;
+  private static final int REDIRECT_MAX = 399;
+  private static final int NOT_MODIFIED = 304;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final CallerRequest request;
+  private final PlacementDecision.Placed placed;
+  private final RelaySettings settings;
+  private final UpstreamClient client;
+  private final SendGate gate;
+  private final StreamProgress progress;
+  private final long startNanos = System.nanoTime();
+  private long firstByteMillis;
+  private int status;
+  private AttemptResult result;
+
+  Attempt(
+      CallerRequest request,
+      PlacementDecision.Placed placed,
+      RelaySettings settings,
+      UpstreamClient client,
+      SendGate gate,
+      StreamProgress progress) {
+    this.request = request;
+    this.placed = placed;
+    this.settings = settings;
+    this.client = client;
+    this.gate = gate;
+    this.progress = progress;
+  }
+
+  Flux<AnswerPart> parts() {
+    return client
+        .send(placed.address(), upstreamRequest(), gate)
+        .doOnNext(this::noteHead)
+        .switchOnFirst(this::byKind)
+        .doFinally(unused -> placed.slot().release(outcome()));
+  }
+
+  AttemptResult result() {
+    return result == null ? lost("no answer") : result;
+  }
+
+  private UpstreamRequest upstreamRequest() {
+    long remainingMillis = Math.max(1, request.deadline().remainingMillis());
+    UpstreamRequest timed =
+        request.upstream().withHeader(REQUEST_TIMEOUT, Long.toString(remainingMillis));
+    return progress.started()
+        ? timed.withHeader(RESUME_AFTER, Integer.toString(progress.deliveredChunks()))
+        : timed;
+  }
+
+  private void noteHead(UpstreamEvent event) {
+    if (event instanceof UpstreamEvent.Head head) {
+      status = head.status();
+      firstByteMillis = (System.nanoTime() - startNanos) / NANOS_PER_MILLI;
+    }
+  }
+
+  private Flux<AnswerPart> byKind(Signal<? extends UpstreamEvent> first, Flux<UpstreamEvent> all) {
+    if (!first.hasValue()) {
+      return all.cast(AnswerPart.class);
+    }
+    return switch (first.get()) {
+      case UpstreamEvent.Head head when isStream(head) -> stream(all);
+      case UpstreamEvent.Head head when progress.started() -> fail(lost("not continued"));
+      case UpstreamEvent.Head head -> whole(head, all);
+      case UpstreamEvent.Chunk chunk -> throw new IllegalStateException("chunk before head");
+      case UpstreamEvent.Failure failure -> fail(new AttemptResult.Failed(failure));
+    };
+  }
+
+  private boolean isStream(UpstreamEvent.Head head) {
+    String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+    return request.streaming()
+        && head.status() == OK
+        && type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+  }
+
+  private Flux<AnswerPart> fail(AttemptResult failed) {
+    result = failed;
+    return Flux.empty();
+  }
+
+  private Flux<AnswerPart> stream(Flux<UpstreamEvent> events) {
+    return StreamItem.items(events, settings.maxEventBytes())
+        .<AnswerPart>handle(
+            (item, sink) -> {
+              AnswerPart part = streamPart(item);
+              if (part != null) {
+                sink.next(part);
+              }
+            })
+        .doOnComplete(this::endStream);
+  }
+
+  private void endStream() {
+    if (result == null) {
+      result = lost("the stream ended early");
+    }
+  }
+
+  /** Returns the part to hand on, or null if there is none. */
+  private AnswerPart streamPart(StreamItem item) {
+    if (result != null) {
+      return null;
+    }
+    return switch (item) {
+      case StreamItem.Head head when progress.started() -> null;
+      case StreamItem.Head head -> {
+        progress.start();
+        yield new AnswerPart.StreamHead(HeaderFilter.toCaller(head.head().headers()));
+      }
+      case StreamItem.Event event -> eventPart(event.event());
+      case StreamItem.Failure failure -> {
+        result = new AttemptResult.Failed(failure.failure());
+        yield null;
+      }
+      case StreamItem.Oversized oversized -> {
+        result = tooLarge();
+        yield null;
+      }
+    };
+  }
+
+  private AnswerPart eventPart(SseEvent event) {
+    switch (event.kind()) {
+      case CONTENT -> progress.chunkDelivered();
+      case DONE -> result = new AttemptResult.Answered();
+      case ERROR -> {
+        result = lost("the upstream sent an error event");
+        return null;
+      }
+      default -> {}
+    }
+    return new AnswerPart.StreamEvent(event.bytes(), event.kind() == SseEvent.Kind.DONE);
+  }
+
+  private Flux<AnswerPart> whole(UpstreamEvent.Head head, Flux<UpstreamEvent> events) {
+    WholeBody body = new WholeBody(settings.maxAnswerBytes());
+    return events
+        .takeWhile(body::accept)
+        .then(Mono.<AnswerPart>defer(() -> Mono.justOrEmpty(wholePart(head, body))))
+        .flux();
+  }
+
+  /** Returns the whole answer to hand on, or null if there is none. */
+  private AnswerPart wholePart(UpstreamEvent.Head head, WholeBody body) {
+    result = body.failure().<AttemptResult>map(AttemptResult.Failed::new).orElse(null);
+    if (result == null && body.oversized()) {
+      result = tooLarge();
+    }
+    if (result == null && isRedirect(head.status())) {
+      result = redirected();
+    }
+    if (result != null) {
+      return null;
+    }
+    AnswerPart.Whole whole =
+        new AnswerPart.Whole(head.status(), HeaderFilter.toCaller(head.headers()), body.bytes());
+    if (request.upstream().idempotent() && BUSY_STATUSES.contains(head.status())) {
+      result = new AttemptResult.Withheld(whole);
+      return null;
+    }
+    result = new AttemptResult.Answered();
+    return whole;
+  }
+
+  private static boolean isRedirect(int status) {
+    return status >= REDIRECT_MIN && status <= REDIRECT_MAX && status != NOT_MODIFIED;
+  }
+
+  private static AttemptResult lost(String reason) {
+    return new AttemptResult.Failed(new UpstreamEvent.Lost(reason));
+  }
+
+  private static AttemptResult tooLarge() {
+    return new AttemptResult.Refused(
+        new Problem(
+            ProblemCode.ANSWER_TOO_LARGE,
+            RunOutcome.COMPLETED,
+            "larger than this daemon relays",
+            0));
+  }
+
+  private static AttemptResult redirected() {
+    return new AttemptResult.Refused(
+        Problem.mayHaveRun(ProblemCode.UPSTREAM_REDIRECT, "redirects are not followed"));
+  }
+
+  private AttemptOutcome answered() {
+    return new AttemptOutcome.Answered(status, firstByteMillis);
+  }
+
+  private AttemptOutcome outcome() {
+    return switch (result) {
+      case null -> new AttemptOutcome.Cancelled();
+      case AttemptResult.Answered answered -> answered();
+      case AttemptResult.Withheld withheld -> answered();
+      case AttemptResult.Refused refused -> answered();
+      case AttemptResult.Failed failed -> outcome(failed.failure());
+    };
+  }
+
+  private AttemptOutcome outcome(UpstreamEvent.Failure failure) {
+    return switch (failure) {
+      case UpstreamEvent.NotSent notSent -> new AttemptOutcome.Unreachable();
+      case UpstreamEvent.Lost lost -> new AttemptOutcome.Lost(status != 0);
+      case UpstreamEvent.Stalled stalled -> new AttemptOutcome.Stalled();
+    };
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/ClaimedRun.java
@@ -0,0 +1,100 @@
+package org.ragworttide.daemon.relay;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.daemon.decision.ClaimDecision;
+import org.ragworttide.daemon.decision.ClaimHandle;
+import org.ragworttide.daemon.decision.Claims;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Runs a non-idempotent request under a claim on its key.
+ *
+ * <p>Invariants: the run begins only when the claim is granted, and every grant is reported on.
+ * Once sent, the run goes on without its caller until it is answered or the late-answer time is
+ * over, so that a caller that asks again learns what became of it. Signals may come from any
+ * thread.
+ */
+final class ClaimedRun {
+  private static final OrganisationId OPEN_ROUTES = new OrganisationId("(open routes)");
+  private static final String REPLAYED = "Idempotent-Replayed";
+
+  private final CallerRequest request;
+  private final RequestRun run;
+  private final Claims claims;
+  private final RelaySettings settings;
+
+  ClaimedRun(CallerRequest request, RequestRun run, Claims claims, RelaySettings settings) {
+    this.request = request;
+    this.run = run;
+    this.claims = claims;
+    this.settings = settings;
+  }
+
+  /** Returns the answer's part; cancelling keeps an unsent request from being sent. */
+  Flux<AnswerPart> parts(Flux<AnswerPart> granted) {
+    return Flux.defer(
+        () -> {
+          Mono<AnswerPart> outcome = claim().flatMap(decision -> onDecision(decision, granted));
+          return Mono.fromFuture(outcome.toFuture(), true).doOnCancel(run::interrupt).flux();
+        });
+  }
+
+  private Mono<ClaimDecision> claim() {
+    return claims.claim(request.organisation().orElse(OPEN_ROUTES), request.key().orElseThrow());
+  }
+
+  private Mono<AnswerPart> onDecision(ClaimDecision decision, Flux<AnswerPart> granted) {
+    return switch (decision) {
+      case ClaimDecision.Granted grant -> run(grant.handle(), granted);
+      case ClaimDecision.FirstAnswer first -> Mono.just(replay(first));
+      case ClaimDecision.FirstRunning running -> refuse(Refusals.firstRunning());
+      case ClaimDecision.MayHaveRun mayHaveRun -> refuse(Refusals.firstMayHaveRun());
+      case ClaimDecision.NotRun notRun -> refuse(Refusals.of(notRun));
+    };
+  }
+
+  private Mono<AnswerPart> run(ClaimHandle handle, Flux<AnswerPart> granted) {
+    Duration longest = request.deadline().remaining().plusMillis(settings.lateAnswerMillis());
+    return granted
+        .single()
+        .timeout(longest)
+        .doOnNext(part -> report(handle, part))
+        .doOnError(error -> report(handle, run.interrupt()));
+  }
+
+  private static Mono<AnswerPart> refuse(Problem problem) {
+    return Mono.just(new AnswerPart.Refusal(problem));
+  }
+
+  private static AnswerPart replay(ClaimDecision.FirstAnswer first) {
+    HttpHeaders headers = new DefaultHttpHeaders().set(REPLAYED, "true");
+    if (!first.contentType().isEmpty()) {
+      headers.set(HttpHeaderNames.CONTENT_TYPE, first.contentType());
+    }
+    return new AnswerPart.Whole(first.status(), headers, first.body());
+  }
+
+  private static void report(ClaimHandle handle, AnswerPart part) {
+    switch (part) {
+      case AnswerPart.Whole whole ->
+          handle.completed(
+              whole.status(), whole.headers().get(HttpHeaderNames.CONTENT_TYPE, ""), whole.body());
+      case AnswerPart.Refusal refusal -> report(handle, refusal.problem().outcome());
+      case AnswerPart.StreamHead head -> handle.mayHaveRun();
+      case AnswerPart.StreamEvent event -> handle.mayHaveRun();
+    }
+  }
+
+  private static void report(ClaimHandle handle, RunOutcome outcome) {
+    if (outcome == RunOutcome.NOT_RUN) {
+      handle.notRun();
+    } else {
+      handle.mayHaveRun();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/Relay.java
@@ -0,0 +1,75 @@
+package org.ragworttide.daemon.relay;
+
+import java.util.function.Supplier;
+import org.ragworttide.daemon.decision.RateDecision;
+import org.ragworttide.daemon.upstream.UpstreamClient;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Answers callers' requests by way of limits, claims and upstreams.
+ *
+ * <p>Invariants: every answer begins with a whole answer, a refusal or a stream's head; a stream
+ * ends whole or with an error event. Safe for use by any thread.
+ */
+public final class Relay {
+  private final RelayPorts ports;
+  private final RelaySettings settings;
+  private final UpstreamClient client;
+
+  /** Creates a relay over the ports and the client. */
+  public Relay(RelayPorts ports, RelaySettings settings, UpstreamClient client) {
+    this.ports = ports;
+    this.settings = settings;
+    this.client = client;
+  }
+
+  /**
+   * Answers a request once subscribed; cancelling ends the work on it.
+   *
+   * @param request what to answer
+   * @param withdrawn signals the code of a refusal when the request must end early
+   */
+  public Flux<AnswerPart> answer(CallerRequest request, Mono<ProblemCode> withdrawn) {
+    return Flux.defer(
+        () -> {
+          RequestRun run = new RequestRun(request, ports, settings, client);
+          Flux<AnswerPart> parts = admitted(request, run::parts);
+          if (!request.upstream().idempotent()) {
+            parts = new ClaimedRun(request, run, ports.claims(), settings).parts(parts);
+          }
+          return new Interruption(request, run).guard(parts, withdrawn);
+        });
+  }
+
+  private Flux<AnswerPart> admitted(CallerRequest request, Supplier<Flux<AnswerPart>> parts) {
+    if (request.organisation().isEmpty()) {
+      return Flux.defer(parts);
+    }
+    return ports
+        .rates()
+        .acquire(request.organisation().get(), request.id())
+        .flatMapMany(
+            decision ->
+                switch (decision) {
+                  case RateDecision.Admitted admitted -> parts.get();
+                  case RateDecision.Limited limited -> refuse(limited);
+                  case RateDecision.Unavailable unavailable -> refuse(unavailable);
+                });
+  }
+
+  private static Flux<AnswerPart> refuse(RateDecision.Limited limited) {
+    String detail = "the organisation's rate and burst are used up";
+    return refusal(ProblemCode.RATE_EXCEEDED, detail, limited.retryAfterMillis());
+  }
+
+  private static Flux<AnswerPart> refuse(RateDecision.Unavailable unavailable) {
+    String detail = "the organisation's rate can't be told now";
+    return refusal(ProblemCode.DECISION_UNAVAILABLE, detail, unavailable.retryAfterMillis());
+  }
+
+  private static Flux<AnswerPart> refusal(ProblemCode code, String detail, long retryAfterMillis) {
+    return Flux.just(
+        new AnswerPart.Refusal(Problem.notRun(code, detail, Math.max(1, retryAfterMillis))));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/RelayPorts.java
@@ -0,0 +1,19 @@
+package org.ragworttide.daemon.relay;
+
+import org.ragworttide.daemon.decision.Claims;
+import org.ragworttide.daemon.decision.Placement;
+import org.ragworttide.daemon.decision.RateLimits;
+import org.ragworttide.daemon.decision.RetryBudget;
+
+/**
+ * The decisions that the relay asks for.
+ *
+ * <p>Immutable, safe for use by any thread.
+ *
+ * @param rates admits requests within rates
+ * @param claims grants runs of non-idempotent requests
+ * @param placement chooses upstreams
+ * @param retries bounds further attempts
+ */
+public record RelayPorts(
+    RateLimits rates, Claims claims, Placement placement, RetryBudget retries) {}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/RequestRun.java
@@ -0,0 +1,136 @@
+package org.ragworttide.daemon.relay;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.daemon.decision.PlacementDecision;
+import org.ragworttide.daemon.decision.PlacementRequest;
+import org.ragworttide.daemon.upstream.UpstreamClient;
+import org.ragworttide.daemon.upstream.UpstreamEvent;
+import reactor.core.publisher.Flux;
+
+/**
+ * Runs one request on one upstream after another until it is answered or refused.
+ *
+ * <p>Invariants: a non-idempotent request is sent at most once; after an interruption that was told
+ * as not run nothing is sent; another upstream continues a stream only after what was delivered.
+ * Signals come one at a time; {@link #interrupt} is safe for use by any thread.
+ */
+final class RequestRun {
+  private enum Phase {
+    PENDING,
+    SENT,
+    ABANDONED
+  }
+
+  private final CallerRequest request;
+  private final RelayPorts ports;
+  private final RelaySettings settings;
+  private final UpstreamClient client;
+  private final Set<UpstreamId> tried = new HashSet<>();
+  private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.PENDING);
+  private final StreamProgress progress = new StreamProgress();
+  private AnswerPart.Whole withheld;
+  private int attempts;
+
+  RequestRun(
+      CallerRequest request, RelayPorts ports, RelaySettings settings, UpstreamClient client) {
+    this.request = request;
+    this.ports = ports;
+    this.settings = settings;
+    this.client = client;
+  }
+
+  /** Runs the request once subscribed; to be subscribed once. */
+  Flux<AnswerPart> parts() {
+    return Flux.defer(this::next);
+  }
+
+  /** Keeps a request that has not been sent from being sent, and returns the truth about it. */
+  RunOutcome interrupt() {
+    phase.compareAndSet(Phase.PENDING, Phase.ABANDONED);
+    return outcome();
+  }
+
+  /** Returns whether the request has run, as far as is known now. */
+  RunOutcome outcome() {
+    return phase.get() == Phase.SENT ? RunOutcome.MAY_HAVE_RUN : RunOutcome.NOT_RUN;
+  }
+
+  private boolean enterGate() {
+    return phase.compareAndSet(Phase.PENDING, Phase.SENT) || phase.get() == Phase.SENT;
+  }
+
+  private Flux<AnswerPart> next() {
+    if (request.deadline().passed() || phase.get() == Phase.ABANDONED) {
+      return refuse(deadlinePassed());
+    }
+    PlacementRequest placement =
+        new PlacementRequest(
+            request.chat(),
+            request.target(),
+            request.organisation(),
+            request.deadline(),
+            tried,
+            request.fingerprint());
+    return ports.placement().place(placement).flatMapMany(this::onDecision);
+  }
+
+  private Flux<AnswerPart> onDecision(PlacementDecision decision) {
+    return switch (decision) {
+      case PlacementDecision.Refused refused -> unplaced(refused);
+      case PlacementDecision.Placed placed -> attempt(placed);
+    };
+  }
+
+  private Flux<AnswerPart> unplaced(PlacementDecision.Refused refused) {
+    return withheld == null ? refuse(Refusals.of(refused, outcome())) : Flux.just(withheld);
+  }
+
+  private Flux<AnswerPart> attempt(PlacementDecision.Placed placed) {
+    attempts++;
+    if (attempts == 1) {
+      ports.retries().recordFirstAttempt();
+    }
+    Attempt attempt = new Attempt(request, placed, settings, client, this::enterGate, progress);
+    return attempt.parts().concatWith(Flux.defer(() -> afterAttempt(placed, attempt.result())));
+  }
+
+  private Flux<AnswerPart> afterAttempt(PlacementDecision.Placed placed, AttemptResult result) {
+    tried.add(placed.upstream());
+    return switch (result) {
+      case AttemptResult.Answered answered -> Flux.empty();
+      case AttemptResult.Withheld busy -> afterBusy(placed, busy.whole());
+      case AttemptResult.Refused refused -> refuse(refused.problem());
+      case AttemptResult.Failed failed -> afterFailure(placed, failed.failure());
+    };
+  }
+
+  private Flux<AnswerPart> afterBusy(PlacementDecision.Placed placed, AnswerPart.Whole whole) {
+    withheld = whole;
+    return mayTryAgain(placed) ? next() : Flux.just(whole);
+  }
+
+  private Flux<AnswerPart> afterFailure(
+      PlacementDecision.Placed placed, UpstreamEvent.Failure failure) {
+    boolean resendable =
+        failure instanceof UpstreamEvent.NotSent || request.upstream().idempotent();
+    if (phase.get() == Phase.ABANDONED) {
+      return refuse(deadlinePassed());
+    }
+    return resendable && mayTryAgain(placed) ? next() : refuse(Refusals.of(failure, outcome()));
+  }
+
+  private boolean mayTryAgain(PlacementDecision.Placed placed) {
+    return attempts < settings.maxAttempts() && ports.retries().tryAcquire(placed.upstream());
+  }
+
+  private Problem deadlinePassed() {
+    return new Problem(ProblemCode.DEADLINE_PASSED, outcome(), "the caller's time is over", 0);
+  }
+
+  private Flux<AnswerPart> refuse(Problem problem) {
+    return Flux.just(AnswerPart.ending(problem, request.id(), progress.started()));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/StreamItem.java
@@ -0,0 +1,45 @@
+package org.ragworttide.daemon.relay;
+
+import org.ragworttide.daemon.upstream.SseDecoder;
+import org.ragworttide.daemon.upstream.SseEvent;
+import org.ragworttide.daemon.upstream.UpstreamEvent;
+import reactor.core.publisher.Flux;
+
+/**
+ * A step of an upstream's event stream; immutable, safe for use by any thread.
+ *
+ * <p>Invariant: nothing follows a failure or an oversized event.
+ */
+sealed interface StreamItem {
+
+  /** The answer's head. */
+  record Head(UpstreamEvent.Head head) implements StreamItem {}
+
+  /** A whole event. */
+  record Event(SseEvent event) implements StreamItem {}
+
+  /** The upstream's failure. */
+  record Failure(UpstreamEvent.Failure failure) implements StreamItem {}
+
+  /** An event longer than allowed. */
+  record Oversized() implements StreamItem {}
+
+  /** Splits what an upstream sends into steps. */
+  static Flux<StreamItem> items(Flux<UpstreamEvent> events, int maxEventBytes) {
+    SseDecoder decoder = new SseDecoder(maxEventBytes);
+    return events
+        .concatMap(event -> items(event, decoder))
+        .takeUntil(item -> item instanceof Failure || item instanceof Oversized);
+  }
+
+  private static Flux<StreamItem> items(UpstreamEvent event, SseDecoder decoder) {
+    return switch (event) {
+      case UpstreamEvent.Head head -> Flux.just(new Head(head));
+      case UpstreamEvent.Failure failure -> Flux.just(new Failure(failure));
+      case UpstreamEvent.Chunk chunk -> {
+        Flux<StreamItem> whole = Flux.fromIterable(decoder.feed(chunk.bytes())).map(Event::new);
+        yield decoder.oversized() ? whole.concatWithValues(new Oversized()) : whole;
+      }
+    };
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Runs admitted requests on upstreams and brings their answers back whole. */
+package org.ragworttide.daemon.relay;
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/UpstreamSettings.java
@@ -0,0 +1,25 @@
+package org.ragworttide.daemon.upstream;
+
+/**
+ * Limits of the client towards upstreams.
+ *
+ * <p>Immutable, safe for use by any thread.
+ *
+ * @param connectTimeoutMillis longest time to establish a connection
+ * @param maxIdleMillis how long an unused connection is kept
+ * @param maxConnections most connections to one upstream
+ */
+public record UpstreamSettings(int connectTimeoutMillis, long maxIdleMillis, int maxConnections) {
+
+  /** Checks the ranges. */
+  public UpstreamSettings {
+    if (connectTimeoutMillis <= 0 || maxIdleMillis <= 0 || maxConnections <= 0) {
+      throw new IllegalArgumentException("limits of the upstream client must be positive");
+    }
+  }
+
+  /** Returns the settings used when none are given. */
+  public static UpstreamSettings defaults() {
+    return new UpstreamSettings(1_000, 30_000, 4_096);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP client towards engines and services. */
+package org.ragworttide.daemon.upstream;
--- /dev/null
+++ b/daemon/src/test/java/org/ragworttide/daemon/RawCaller.java
@@ -0,0 +1,56 @@
+package org.ragworttide.daemon;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** A caller on a bare socket, which decides when it reads and hangs up; for tests. */
+final class RawCaller implements AutoCloseable {
+  private static final int READ_TIMEOUT_MILLIS = 20_000;
+
+  private final Socket socket;
+
+  RawCaller(InetSocketAddress address) throws IOException {
+    socket = new Socket("127.0.0.1", address.getPort());
+    socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+  }
+
+  void post(String path, String body, String... headers) throws IOException {
+    StringBuilder head = new StringBuilder("POST " + path + " HTTP/1.1\r\nHost: x\r\n");
+    head.append("Authorization: Bearer " + PathFixture.KEY + "\r\n");
+    for (String header : headers) {
+      head.append(header).append("\r\n");
+    }
+    write(head + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+  }
+
+  void write(String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  /** Reads up to and with the text, or to the end of the connection. */
+  String readUntil(String text) throws IOException {
+    StringBuilder read = new StringBuilder();
+    InputStream in = socket.getInputStream();
+    while (read.indexOf(text) < 0) {
+      int b = in.read();
+      if (b < 0) {
+        return read.append("<end>").toString();
+      }
+      read.append((char) b);
+    }
+    return read.toString();
+  }
+
+  /** Reads to the end of the connection. */
+  String readAll() throws IOException {
+    return readUntil("<never>");
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
