--- a/fakes/src/main/java/org/ragworttide/fakes/ChatAnswer.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/ChatAnswer.java
@@ -24,14 +24,23 @@
   /** Returns the answer to a request's JSON. */
   public static ChatAnswer to(byte[] request, int defaultChunks) {
     JsonNode tree = Json.parse(request);
-    CRC32 crc = new CRC32();
-    crc.update(tree.path("messages").toString().getBytes(StandardCharsets.UTF_8));
     return new ChatAnswer(
         tree.path("model").asText(),
-        "%08x".formatted(crc.getValue()),
+        digest(tree.path("messages")),
         tree.path("max_tokens").asInt(defaultChunks));
   }
 
+  /** Returns what tells a chat's prompt prefix from others: its first message. */
+  static String prefix(byte[] request) {
+    return digest(Json.parse(request).path("messages").path(0));
+  }
+
+  private static String digest(JsonNode node) {
+    CRC32 crc = new CRC32();
+    crc.update(node.toString().getBytes(StandardCharsets.UTF_8));
+    return "%08x".formatted(crc.getValue());
+  }
+
   /** Returns one content chunk, as {@code w0-1a2b3c4d} and a space. */
   public String content(int index) {
     return "w" + index + "-" + digest + " ";
--- a/fakes/src/main/java/org/ragworttide/fakes/ChatRun.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/ChatRun.java
@@ -37,7 +37,7 @@
     AtomicReference<Connection> connection = new AtomicReference<>();
     out.withConnection(connection::set);
     String chat = in.requestHeaders().get("Chat-Id");
-    hit = chat != null && state.memory.touch(chat);
+    hit = state.memory.touch(chat == null ? ChatAnswer.prefix(body) : chat);
     long incarnation = state.arrived(connection.get(), hit);
     return run(body).doFinally(signal -> state.ended(connection.get(), incarnation, whole));
   }
--- a/fakes/src/test/java/org/ragworttide/fakes/FakeEngineTest.java
+++ b/fakes/src/test/java/org/ragworttide/fakes/FakeEngineTest.java
@@ -41,6 +41,12 @@
     assertEquals(chat("Chat-Id", "c").headers().firstValue("Cache-Reuse").get(), "hit");
   }
 
+  @Test
+  public void chatsWithoutAnIdAreKnownByTheirFirstMessage() throws Exception {
+    assertEquals(chat("Accept", "*/*").headers().firstValue("Cache-Reuse").get(), "miss");
+    assertEquals(chat("Accept", "*/*").headers().firstValue("Cache-Reuse").get(), "hit");
+  }
+
   @Test
   public void resumedStreamsSkipWhatTheCallerHas() throws Exception {
     String whole = chat("Chat-Id", "c").body();
