--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/platform/DocumentWatch.java
@@ -0,0 +1,91 @@
+package org.ragworttide.daemon.platform;
+
+import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+
+/**
+ * Follows one published document and passes on each newer version.
+ *
+ * <p>Invariant: the listener sees versions in growing order only; one call to the service is open
+ * at a time. The listener runs on a thread of the client. Safe for use by any thread.
+ */
+public final class DocumentWatch implements Disposable {
+  private static final Duration WAIT = Duration.ofSeconds(20);
+  private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(500);
+  private static final Duration PAUSE_WHILE_INACTIVE = Duration.ofMillis(250);
+
+  private final PlatformClient client;
+  private final String name;
+  private final BooleanSupplier active;
+  private final Consumer<PlatformReply> listener;
+  private volatile long version;
+  private volatile Disposable loop;
+
+  /**
+   * Creates a watch that {@link #start()} sets going.
+   *
+   * @param client the platform's service
+   * @param name the document's name
+   * @param active whether this daemon is to call the service now
+   * @param listener told of every newer version and of every failure
+   */
+  public DocumentWatch(
+      PlatformClient client,
+      String name,
+      BooleanSupplier active,
+      Consumer<PlatformReply> listener) {
+    this.client = client;
+    this.name = name;
+    this.active = active;
+    this.listener = listener;
+  }
+
+  /** Starts following the document. */
+  public DocumentWatch start() {
+    loop = Mono.defer(this::step).repeat().subscribe();
+    return this;
+  }
+
+  @Override
+  public void dispose() {
+    if (loop != null) {
+      loop.dispose();
+    }
+  }
+
+  private Mono<Void> step() {
+    if (!active.getAsBoolean()) {
+      return Mono.delay(PAUSE_WHILE_INACTIVE).then();
+    }
+    Mono<PlatformReply> call = version == 0 ? client.read(name) : client.watch(name, version, WAIT);
+    return call.flatMap(this::handle);
+  }
+
+  private Mono<Void> handle(PlatformReply reply) {
+    return switch (reply) {
+      case PlatformReply.Unchanged unchanged -> Mono.empty();
+      case PlatformReply.Published published -> {
+        boolean newer = published.version() > version;
+        if (newer) {
+          version = published.version();
+          listener.accept(published);
+        }
+        yield newer ? Mono.empty() : pause();
+      }
+      case PlatformReply.Unavailable unavailable -> {
+        listener.accept(unavailable);
+        yield pause();
+      }
+    };
+  }
+
+  private static Mono<Void> pause() {
+    // Jitter keeps the readers apart when the service comes back.
+    long jitterMillis = ThreadLocalRandom.current().nextLong(PAUSE_AFTER_FAILURE.toMillis());
+    return Mono.delay(PAUSE_AFTER_FAILURE.plusMillis(jitterMillis)).then();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/platform/PlatformClient.java
@@ -0,0 +1,70 @@
+package org.ragworttide.daemon.platform;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Duration;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+
+/**
+ * Reads and watches the documents that the platform publishes.
+ *
+ * <p>Invariant: it only reads; every failure is a {@link PlatformReply.Unavailable}, never an error
+ * signal. Safe for use by any thread.
+ */
+public final class PlatformClient {
+  private static final Duration READ_TIMEOUT = Duration.ofSeconds(3);
+  private static final int MAX_DOCUMENT_BYTES = 1_048_576;
+
+  private final HttpClient http;
+
+  /**
+   * Creates a client of the service.
+   *
+   * @param address host and port of the service
+   */
+  public PlatformClient(String address) {
+    this.http = HttpClient.create().baseUrl("http://" + address).disableRetry(true);
+  }
+
+  /** Reads the newest version of a document that this reader is served. */
+  public Mono<PlatformReply> read(String name) {
+    return call("/v1/read/" + name, READ_TIMEOUT);
+  }
+
+  /** Waits for a version newer than the given one, for at most the given time. */
+  public Mono<PlatformReply> watch(String name, long after, Duration wait) {
+    String uri = "/v1/watch/%s?after=%d&timeoutMillis=%d".formatted(name, after, wait.toMillis());
+    return call(uri, wait.plus(READ_TIMEOUT));
+  }
+
+  private Mono<PlatformReply> call(String uri, Duration timeout) {
+    return http.get()
+        .uri(uri)
+        .responseSingle(
+            (response, body) ->
+                body.asByteArray()
+                    .defaultIfEmpty(new byte[0])
+                    .map(bytes -> interpret(response, bytes)))
+        .timeout(timeout)
+        .onErrorResume(e -> Mono.just(new PlatformReply.Unavailable(String.valueOf(e))));
+  }
+
+  private static PlatformReply interpret(HttpClientResponse response, byte[] body) {
+    if (response.status().equals(HttpResponseStatus.NO_CONTENT)) {
+      return new PlatformReply.Unchanged();
+    }
+    if (!response.status().equals(HttpResponseStatus.OK)) {
+      return new PlatformReply.Unavailable("status " + response.status().code());
+    }
+    if (body.length > MAX_DOCUMENT_BYTES) {
+      return new PlatformReply.Unavailable("document exceeds " + MAX_DOCUMENT_BYTES + " bytes");
+    }
+    try {
+      long version = Long.parseLong(response.responseHeaders().get("Version", ""));
+      return new PlatformReply.Published(version, body);
+    } catch (NumberFormatException e) {
+      return new PlatformReply.Unavailable("no version in the answer");
+    }
+  }
+}
