--- a/daemon/src/main/java/org/ragworttide/daemon/Main.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/Main.java
@@ -9,6 +9,7 @@
 import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.ragworttide.daemon.log.LogSetup;
 import org.ragworttide.daemon.runtime.Daemon;
 import org.ragworttide.daemon.runtime.ExitCode;
 import org.ragworttide.document.Fault;
@@ -23,14 +24,12 @@
   private Main() {}
 
   /** Runs the daemon until it is told to stop. */
-  public static void main(String[] args) throws InterruptedException {
+  public static void main(String[] args) {
     ExitCode code = run(args);
-    if (code != ExitCode.OK) {
-      System.exit(code.code());
-    }
+    System.exit(code.code());
   }
 
-  private static ExitCode run(String[] args) throws InterruptedException {
+  private static ExitCode run(String[] args) {
     Options options = options();
     CommandLine line;
     try {
@@ -54,7 +53,7 @@
     return withSettings(line);
   }
 
-  private static ExitCode withSettings(CommandLine line) throws InterruptedException {
+  private static ExitCode withSettings(CommandLine line) {
     Path file = Path.of(line.getOptionValue("settings"));
     try {
       return switch (SettingsReader.read(Files.readAllBytes(file))) {
@@ -73,17 +72,26 @@
     return ExitCode.SETTINGS;
   }
 
-  private static ExitCode serve(DaemonSettings settings) throws InterruptedException {
+  private static ExitCode serve(DaemonSettings settings) {
+    LogSetup.apply(settings.log());
+    Daemon daemon;
     try {
-      Daemon.start(settings).block();
+      daemon = Daemon.start(settings).block();
     } catch (RuntimeException e) {
       System.err.println("ragworttided: cannot listen: " + e.getMessage());
       return ExitCode.LISTEN;
     }
-    Thread.currentThread().join();
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
+    daemon.onStopped().block();
     return ExitCode.OK;
   }
 
+  private static void stop(Daemon daemon) {
+    daemon.drain("signal").block();
+    // A signal would otherwise show in the exit code of a stop that went as planned.
+    Runtime.getRuntime().halt(ExitCode.OK.code());
+  }
+
   private static Options options() {
     return new Options()
         .addOption(null, "settings", true, "settings file, JSON with comments")
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogSetup.java
@@ -0,0 +1,77 @@
+package org.ragworttide.daemon.log;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.ragworttide.document.settings.DaemonSettings;
+
+/** Sets up the form and the level of the process's log; stateless. */
+public final class LogSetup {
+
+  private LogSetup() {}
+
+  /** Applies the settings to the whole process. */
+  public static void apply(DaemonSettings.Log settings) {
+    Logger root = Logger.getLogger("");
+    for (Handler handler : root.getHandlers()) {
+      root.removeHandler(handler);
+    }
+    Handler handler = new ConsoleHandler();
+    handler.setFormatter(
+        switch (settings.format()) {
+          case TEXT -> new TextForm();
+          case JSON -> new JsonForm();
+        });
+    Level level = level(settings.level());
+    handler.setLevel(level);
+    root.setLevel(Level.WARNING);
+    Logger.getLogger("org.ragworttide").setLevel(level);
+    root.addHandler(handler);
+  }
+
+  private static Level level(DaemonSettings.LogLevel level) {
+    return switch (level) {
+      case ERROR -> Level.SEVERE;
+      case WARN -> Level.WARNING;
+      case INFO -> Level.INFO;
+      case DEBUG -> Level.FINE;
+    };
+  }
+
+  /** One line of text an event. */
+  private static final class TextForm extends Formatter {
+    @Override
+    public String format(LogRecord event) {
+      return "%s %-7s %s%n"
+          .formatted(
+              Instant.ofEpochMilli(event.getMillis()), event.getLevel(), formatMessage(event));
+    }
+  }
+
+  /** One JSON object an event. */
+  private static final class JsonForm extends Formatter {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    @Override
+    public String format(LogRecord event) {
+      Map<String, String> fields = new LinkedHashMap<>();
+      fields.put("at", Instant.ofEpochMilli(event.getMillis()).toString());
+      fields.put("level", event.getLevel().getName());
+      fields.put("logger", event.getLoggerName());
+      fields.put("message", formatMessage(event));
+      try {
+        return JSON.writeValueAsString(fields) + System.lineSeparator();
+      } catch (JsonProcessingException e) {
+        throw new IllegalStateException("text cannot be written as JSON", e);
+      }
+    }
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/RouterPlacement.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/RouterPlacement.java
@@ -8,16 +8,20 @@
 import org.ragworttide.coordination.id.ModelId;
 import org.ragworttide.coordination.id.OrganisationId;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.routing.RefusalReason;
 import org.ragworttide.coordination.routing.RouteRequest;
 import org.ragworttide.coordination.routing.RouteResult;
 import org.ragworttide.coordination.routing.Router;
+import org.ragworttide.coordination.routing.ZoneState;
 import org.ragworttide.daemon.decision.Placement;
 import org.ragworttide.daemon.decision.PlacementDecision;
 import org.ragworttide.daemon.decision.PlacementRefusal;
 import org.ragworttide.daemon.decision.PlacementRequest;
 import org.ragworttide.document.ConfigurationDocument;
+import org.ragworttide.document.ConfigurationDocument.Service;
 import org.ragworttide.document.ConfigurationDocument.Upstream;
+import org.ragworttide.document.ConfigurationDocument.Zone;
 import reactor.core.publisher.Mono;
 
 /**
@@ -47,6 +51,7 @@
     }
     addresses = next;
     router.facts().upstreams(UpstreamSpecs.of(document));
+    router.facts().zones(zones(document));
   }
 
   @Override
@@ -54,6 +59,15 @@
     return loop.call(answer -> answer.accept(decide(request)));
   }
 
+  private static Map<ZoneId, ZoneState> zones(ConfigurationDocument document) {
+    Map<ZoneId, ZoneState> states = new HashMap<>();
+    for (Zone zone : document.zones()) {
+      states.put(
+          new ZoneId(zone.id()), zone.service() == Service.IN ? ZoneState.IN : ZoneState.OUT);
+    }
+    return states;
+  }
+
   private PlacementDecision decide(PlacementRequest request) {
     ModelId model = UpstreamSpecs.model(configuration.get(), request.target());
     // A request outside any chat keeps its place on a retry by its content.
