Surge after silence in the limit tests, so that hoarded permits show

Load now changes between silence, one busy VM and a surge, paused processes surge when they resume, and one test lets permits wait through a pause until the bucket is full again.

--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitBoundTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitBoundTest.java
@@ -16,10 +16,12 @@
   private static final OrganisationId LARGE = new OrganisationId("large");
   private static final OrganisationId SMALL = new OrganisationId("small");
   private static final Map<OrganisationId, RateLimit> TABLE =
-      Map.of(LARGE, new RateLimit(200, 120), SMALL, new RateLimit(3, 6));
+      Map.of(LARGE, new RateLimit(40, 60), SMALL, new RateLimit(3, 6));
   private static final long SEED = Long.getLong("seed", 20261204);
   private static final int SEEDS = Integer.getInteger("seeds", 40);
   private static final int VMS = 5;
+  private static final int STEPS = 1_500;
+  private static final int RUN_MILLIS = 60_000;
 
   @Test
   public void healthyFleetStaysWithinTheLimit() {
@@ -41,10 +43,7 @@
 
   @Test
   public void pausedProcessesMintNoTokens() {
-    everySeed(
-        (run, step) ->
-            run.sometimes(
-                step, vm -> run.fleet.clock(vm).pause(), vm -> run.fleet.clock(vm).resume()));
+    everySeed((run, step) -> run.sometimes(step, vm -> run.fleet.clock(vm).pause(), run::resume));
   }
 
   @Test
@@ -71,12 +70,22 @@
           run.fleet.network.faults(0.1, 0.2, 500);
           run.sometimes(
               step, vm -> run.fleet.isolate(vm, true), vm -> run.fleet.isolate(vm, false));
-          run.sometimes(
-              step, vm -> run.fleet.clock(vm).pause(), vm -> run.fleet.clock(vm).resume());
+          run.sometimes(step, vm -> run.fleet.clock(vm).pause(), run::resume);
           run.sometimes(step, run.fleet::start, vm -> {});
         });
   }
 
+  @Test
+  public void permitsThatWaitedThroughAnyPauseAddNothingToTheBurst() {
+    for (long seed = SEED; seed < SEED + SEEDS; seed++) {
+      Run run = new Run(seed);
+      for (int round = 0; round < 8; round++) {
+        run.ambush();
+        assertEquals(run.fleet.checker.overshoot(), 0.0, "seed " + seed + " round " + round);
+      }
+    }
+  }
+
   private static void everySeed(BiConsumer<Run, Integer> failures) {
     everySeed(failures, VMS, LimitSettings.DEFAULT_RESERVE_SHARE);
   }
@@ -85,7 +94,7 @@
       BiConsumer<Run, Integer> failures, int owningVms, double reserveShare) {
     for (long seed = SEED; seed < SEED + SEEDS; seed++) {
       Run run = new Run(seed, owningVms, reserveShare);
-      for (int step = 0; step < 1_200; step++) {
+      for (int step = 0; step < STEPS; step++) {
         failures.accept(run, step);
         run.step();
         assertEquals(run.fleet.checker.overshoot(), 0.0, "seed " + seed + " step " + step);
@@ -94,9 +103,17 @@
     }
   }
 
+  private enum Load {
+    QUIET,
+    FAVOURITE,
+    SURGE
+  }
+
   private static final class Run {
     private final SplittableRandom random;
     private final LimitFleet fleet;
+    private Load load = Load.QUIET;
+    private VmId favourite = new VmId("vm-0");
     private int admitted;
     private int nextRequest;
 
@@ -106,25 +123,65 @@
       fleet.apply(TABLE);
       fleet.owners.hintLag(random.nextInt(800));
       long from = 0;
-      while (from < 30_000) {
-        long to = from + 500 + random.nextInt(6_000);
+      while (from < RUN_MILLIS) {
+        long to = from + 500 + random.nextInt(15_000);
         fleet.own(fleet.vms.get(random.nextInt(owningVms)), from, to);
         from = to + (random.nextBoolean() ? 0 : random.nextInt(1_500));
       }
     }
 
+    private Run(long seed) {
+      random = new SplittableRandom(seed);
+      fleet = new LimitFleet(seed, VMS, new LimitSettings(VMS, 0, 60_000));
+      fleet.network.faults(0, 0.5, 3);
+      fleet.apply(TABLE);
+      fleet.own(fleet.vms.getFirst(), 0, Long.MAX_VALUE / 2);
+    }
+
+    /** Lets a VM collect permits and pause, and surges everywhere once the bucket is full. */
+    private void ambush() {
+      VmId victim = fleet.vms.get(1 + random.nextInt(VMS - 1));
+      fleet.time.advance(2_500);
+      for (int i = 0; i < random.nextInt(20); i++) {
+        request(victim, 1);
+        fleet.time.advance(random.nextInt(15));
+      }
+      request(victim, random.nextInt(20));
+      fleet.time.advance(random.nextInt(10));
+      fleet.clock(victim).pause();
+      fleet.time.advance(500 + random.nextInt(4_000));
+      resume(victim);
+      fleet.vms.forEach(vm -> request(vm, 40));
+      fleet.time.advance(20);
+      fleet.vms.forEach(vm -> request(vm, 40));
+    }
+
     private void step() {
-      fleet.time.advance(1 + random.nextInt(20));
-      int requests = random.nextInt(8);
+      fleet.time.advance(1 + random.nextInt(40));
+      if (random.nextInt(40) == 0) {
+        load = Load.values()[random.nextInt(Load.values().length)];
+        favourite = fleet.vms.get(random.nextInt(VMS));
+      }
+      if (load == Load.FAVOURITE) {
+        request(favourite, random.nextInt(3));
+      } else if (load == Load.SURGE) {
+        fleet.vms.forEach(vm -> request(vm, random.nextInt(10)));
+      }
+    }
+
+    private void request(VmId vm, int requests) {
       for (int i = 0; i < requests; i++) {
         OrganisationId organisation = random.nextInt(5) == 0 ? SMALL : LARGE;
         boolean retry = nextRequest > 100 && random.nextInt(10) == 0;
         int request = retry ? nextRequest - 1 - random.nextInt(100) : nextRequest++;
-        VmId vm = fleet.vms.get(random.nextInt(VMS));
         fleet.request(vm, organisation, "r" + request, this::follow);
       }
     }
 
+    private void resume(VmId vm) {
+      fleet.clock(vm).resume(() -> request(vm, 30));
+    }
+
     private void follow(LimitDecision decision) {
       if (decision instanceof LimitDecision.Admitted) {
         admitted++;
--- a/coordination/src/test/java/org/ragworttide/coordination/net/VmClock.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/net/VmClock.java
@@ -66,9 +66,13 @@
     paused = true;
   }
 
-  /** Resumes and runs what fell due or arrived in the meantime. */
-  public void resume() {
+  /** Resumes; runs the first task, then what fell due or arrived in the meantime. */
+  public void resume(Runnable first) {
+    if (!paused) {
+      return;
+    }
     paused = false;
+    first.run();
     List<Runnable> late = List.copyOf(deferred);
     deferred.clear();
     late.forEach(Runnable::run);
