--- a/coordination/src/main/java/org/ragworttide/coordination/limits/ClockRate.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/ClockRate.java
@@ -9,6 +9,7 @@
 final class ClockRate {
   static final long MAX_ERROR_PARTS_PER_MILLION = 1_000;
   private static final long MILLION = 1_000_000;
+  private static final long MAX_DURATION_MILLIS = 86_400_000;
 
   private ClockRate() {}
 
@@ -25,10 +26,11 @@
     return (millis * fast + slow - 1) / slow + 1;
   }
 
-  /** Returns a duration that is over on a slow clock elsewhere within the given time here. */
+  /** Returns a duration of at most a day that is over on a slow clock elsewhere in time. */
   static long shortened(long millis) {
     long slow = MILLION - MAX_ERROR_PARTS_PER_MILLION;
     long fast = MILLION + MAX_ERROR_PARTS_PER_MILLION;
-    return Math.max(0, (millis - 1) * slow / fast - 1);
+    long bounded = Math.min(millis, MAX_DURATION_MILLIS);
+    return Math.max(0, (bounded - 1) * slow / fast - 1);
   }
 }
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/quarantine/Quarantine.java
@@ -0,0 +1,246 @@
+package org.ragworttide.coordination.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.ragworttide.coordination.hash.Rendezvous;
+import org.ragworttide.coordination.id.Fingerprint;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.membership.MembershipQueries;
+import org.ragworttide.coordination.membership.VmEntry;
+import org.ragworttide.coordination.membership.VmList;
+import org.ragworttide.coordination.message.QuarantineMessage;
+import org.ragworttide.coordination.message.QuarantineMessage.Died;
+import org.ragworttide.coordination.message.QuarantineMessage.RunAnswer;
+import org.ragworttide.coordination.message.QuarantineMessage.RunEnded;
+import org.ragworttide.coordination.message.QuarantineMessage.RunReply;
+import org.ragworttide.coordination.message.QuarantineMessage.RunRequest;
+import org.ragworttide.coordination.message.QuarantineMessage.Summary;
+import org.ragworttide.coordination.message.Transport;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * Stops requests that crash their upstreams, on every VM.
+ *
+ * <p>Invariants: a request that was running when an upstream died runs again only by permission of
+ * the VM that decides on it, one run at a time; after the second death it is refused by every VM
+ * that has heard of both. Called on the coordination thread only.
+ */
+public final class Quarantine implements QuarantineCommands, QuarantineQueries {
+  static final int REFUSED_AFTER_DEATHS = 2;
+  static final int ASK_TIMEOUT_MILLIS = 300;
+  static final int OWNER_RETRY_MILLIS = 1_000;
+  static final int SUMMARY_PERIOD_MILLIS = 2_000;
+  static final int FANOUT = 4;
+  private static final int MAX_REPEATED_DEATHS = 16;
+
+  private final VmId self;
+  private final TimerService time;
+  private final Transport transport;
+  private final MembershipQueries membership;
+  private final Function<Fingerprint, Optional<VmId>> owners;
+  private final RandomGenerator random;
+  private final DeathRecords records = new DeathRecords();
+  private final RunOwner owner = new RunOwner(records);
+  private final Map<Long, Asked> asked = new HashMap<>();
+  private final Map<Long, VmId> permitted = new HashMap<>();
+  private long nextRequestId;
+
+  /**
+   * Creates the state of one VM.
+   *
+   * @param self this VM
+   * @param time the timer service
+   * @param transport sends to peers
+   * @param membership this VM's view of the fleet
+   * @param owners tells which VM decides on a fingerprint
+   * @param random chooses peers and the first question's number
+   */
+  public Quarantine(
+      VmId self,
+      TimerService time,
+      Transport transport,
+      MembershipQueries membership,
+      Function<Fingerprint, Optional<VmId>> owners,
+      RandomGenerator random) {
+    this.self = self;
+    this.time = time;
+    this.transport = transport;
+    this.membership = membership;
+    this.owners = owners;
+    this.random = random;
+    this.nextRequestId = random.nextLong(1L << 32);
+    time.every(SUMMARY_PERIOD_MILLIS, this::summarise);
+  }
+
+  @Override
+  public void check(Fingerprint fingerprint, Consumer<QuarantineDecision> decision) {
+    int deaths = records.count(fingerprint, time.nowMillis());
+    if (deaths == 0) {
+      decision.accept(new QuarantineDecision.Unsuspected());
+    } else if (deaths >= REFUSED_AFTER_DEATHS) {
+      long remaining = records.remainingMillis(fingerprint, time.nowMillis());
+      decision.accept(refused(remaining, QuarantineDecision.Reason.CRASHED_TWICE));
+    } else {
+      ask(fingerprint, decision);
+    }
+  }
+
+  @Override
+  public void died(UpstreamId upstream, String upstreamRun, Collection<Fingerprint> running) {
+    long death = Rendezvous.hash(upstream.value() + '\n' + upstreamRun);
+    learn(death, List.copyOf(running), 0);
+  }
+
+  @Override
+  public void finished(Fingerprint fingerprint, long runId) {
+    VmId decider = permitted.remove(runId);
+    if (decider != null) {
+      RunEnded ended = new RunEnded(runId, fingerprint);
+      if (decider.equals(self)) {
+        receive(self, ended);
+      } else {
+        transport.send(decider, ended);
+      }
+    }
+  }
+
+  @Override
+  public void receive(VmId from, QuarantineMessage message) {
+    switch (message) {
+      case Died died -> learn(died.death(), died.fingerprints(), died.ageMillis());
+      case RunRequest request -> {
+        RunReply reply = owner.decide(from, request, time.nowMillis());
+        if (from.equals(self)) {
+          receive(self, reply);
+        } else {
+          transport.send(from, reply);
+        }
+      }
+      case RunReply reply -> decided(from, reply);
+      case RunEnded ended -> owner.ended(from, ended.requestId(), ended.fingerprint());
+      case Summary summary -> compare(from, summary);
+    }
+  }
+
+  @Override
+  public int deaths(Fingerprint fingerprint) {
+    return records.count(fingerprint, time.nowMillis());
+  }
+
+  @Override
+  public int size() {
+    return records.size();
+  }
+
+  private void ask(Fingerprint fingerprint, Consumer<QuarantineDecision> decision) {
+    Optional<VmId> decider = owners.apply(fingerprint);
+    if (decider.isEmpty()) {
+      decision.accept(refused(OWNER_RETRY_MILLIS, QuarantineDecision.Reason.OWNER_UNREACHABLE));
+      return;
+    }
+    long requestId = nextRequestId++;
+    asked.put(requestId, new Asked(decider.get(), fingerprint, decision));
+    time.after(ASK_TIMEOUT_MILLIS, () -> timeOut(requestId));
+    RunRequest request = new RunRequest(requestId, fingerprint);
+    if (decider.get().equals(self)) {
+      receive(self, request);
+    } else {
+      transport.send(decider.get(), request);
+    }
+  }
+
+  private void timeOut(long requestId) {
+    Asked question = asked.remove(requestId);
+    if (question != null) {
+      question.decision.accept(
+          refused(OWNER_RETRY_MILLIS, QuarantineDecision.Reason.OWNER_UNREACHABLE));
+    }
+  }
+
+  private void decided(VmId from, RunReply reply) {
+    Asked question = asked.get(reply.requestId());
+    if (question == null || !question.decider.equals(from)) {
+      return;
+    }
+    asked.remove(reply.requestId());
+    if (reply.answer() == RunAnswer.PERMITTED) {
+      permitted.put(reply.requestId(), from);
+      long runId = reply.requestId();
+      time.after(RunOwner.MAX_RUN_MILLIS, () -> permitted.remove(runId));
+      question.decision.accept(new QuarantineDecision.Permitted(runId));
+    } else {
+      QuarantineDecision.Reason reason =
+          reply.answer() == RunAnswer.BUSY
+              ? QuarantineDecision.Reason.BEING_TRIED
+              : QuarantineDecision.Reason.CRASHED_TWICE;
+      question.decision.accept(refused(reply.retryAfterMillis(), reason));
+    }
+  }
+
+  private void learn(long death, List<Fingerprint> running, int ageMillis) {
+    long now = time.nowMillis();
+    List<Fingerprint> added = records.add(death, running, now - ageMillis, now);
+    if (added.isEmpty()) {
+      return;
+    }
+    Died news = new Died(death, added, ageMillis);
+    for (Fingerprint fingerprint : added) {
+      owners
+          .apply(fingerprint)
+          .filter(vm -> !vm.equals(self))
+          .ifPresent(vm -> transport.send(vm, news));
+    }
+    for (int i = 0; i < FANOUT; i++) {
+      randomPeer().ifPresent(peer -> transport.send(peer, news));
+    }
+  }
+
+  private void summarise() {
+    if (records.size() > 0) {
+      Summary summary = new Summary(records.hash(time.nowMillis()));
+      randomPeer().ifPresent(peer -> transport.send(peer, summary));
+    }
+  }
+
+  private void compare(VmId from, Summary summary) {
+    long now = time.nowMillis();
+    long own = records.hash(now);
+    if (own == summary.hash()) {
+      return;
+    }
+    records
+        .latest(MAX_REPEATED_DEATHS)
+        .forEach(
+            (id, death) -> {
+              int age = (int) Math.max(0, now - death.diedMillis());
+              transport.send(from, new Died(id, new ArrayList<>(death.fingerprints()), age));
+            });
+    if (summary.hash() != 0 && records.size() == 0) {
+      transport.send(from, new Summary(0));
+    }
+  }
+
+  private Optional<VmId> randomPeer() {
+    List<VmEntry> vms = membership.list().map(VmList::vms).orElse(List.of());
+    if (vms.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(vms.get(random.nextInt(vms.size())).id()).filter(vm -> !vm.equals(self));
+  }
+
+  private static QuarantineDecision refused(
+      long retryAfterMillis, QuarantineDecision.Reason reason) {
+    return new QuarantineDecision.Refused(retryAfterMillis, reason);
+  }
+
+  private record Asked(
+      VmId decider, Fingerprint fingerprint, Consumer<QuarantineDecision> decision) {}
+}
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitsTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitsTest.java
@@ -155,6 +155,62 @@
     assertEquals(fleet.at(vm(1)).counters().unexpectedMessages(), 1);
   }
 
+  @Test
+  public void answerOfAnotherVmThanTheAskedOneIsIgnored() {
+    ownedWithoutReserves();
+    fleet.isolate(vm(0), true);
+    fleet.request(vm(1), HOTEL, "a", decisions::add);
+    fleet.time.advance(5);
+    LimitMessage.Ask ask = (LimitMessage.Ask) messages.getLast();
+    LimitMessage.Grant forged = new LimitMessage.Grant(true, 7, 1, 1_000, false, 0, List.of());
+    fleet.at(vm(1)).receive(vm(2), new LimitMessage.Answer(ask.askId(), List.of(forged)));
+    assertTrue(decisions.isEmpty());
+  }
+
+  @Test
+  public void grantOfMoreThanWasAskedForIsIgnored() {
+    ownedWithoutReserves();
+    fleet.isolate(vm(0), true);
+    fleet.request(vm(1), HOTEL, "a", decisions::add);
+    fleet.time.advance(5);
+    LimitMessage.Ask ask = (LimitMessage.Ask) messages.getLast();
+    LimitMessage.Grant forged = new LimitMessage.Grant(true, 7, 500, 1_000, false, 0, List.of());
+    fleet.at(vm(1)).receive(vm(0), new LimitMessage.Answer(ask.askId(), List.of(forged)));
+    assertEquals(fleet.at(vm(1)).heldTokens(HOTEL), 0);
+  }
+
+  @Test
+  public void permitsEndWithTheOwnership() {
+    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), messages::add);
+    fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
+    fleet.own(vm(0), 0, 20_000);
+    fleet.time.advance(19_700);
+    for (int i = 0; i < 8; i++) {
+      request(1, "a" + i);
+    }
+    assertTrue(fleet.at(vm(1)).heldTokens(HOTEL) > 0);
+    fleet.clock(vm(1)).pause();
+    fleet.time.advance(20_000 - fleet.time.nowMillis());
+    assertEquals(fleet.at(vm(1)).heldTokens(HOTEL), 0);
+  }
+
+  @Test
+  public void tokensOfAnEarlierOwnershipAreGone() {
+    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), messages::add);
+    fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
+    fleet.own(vm(0), 0, 20_000);
+    fleet.own(vm(1), 20_000, 30_000);
+    fleet.own(vm(0), 30_000, FOREVER_MILLIS);
+    fleet.time.advance(19_900);
+    assertTrue(fleet.at(vm(0)).ownedTokens(HOTEL) >= 0);
+    request(1, "a");
+    fleet.clock(vm(0)).pause();
+    fleet.time.advance(10_500);
+    fleet.clock(vm(0)).resume(() -> {});
+    request(2, "b");
+    assertTrue(fleet.at(vm(0)).ownedTokens(HOTEL) <= 6);
+  }
+
   @Test
   public void stoppingVmReturnsItsTokens() {
     ownedWithoutReserves();
