--- /dev/null
+++ b/protocol/src/main/java/org/ragworttide/protocol/LimitCodec.java
@@ -0,0 +1,138 @@
+package org.ragworttide.protocol;
+
+import java.util.List;
+import java.util.Optional;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.message.LimitMessage;
+import org.ragworttide.coordination.message.LimitMessage.Answer;
+import org.ragworttide.coordination.message.LimitMessage.Ask;
+import org.ragworttide.coordination.message.LimitMessage.Close;
+import org.ragworttide.coordination.message.LimitMessage.Grant;
+import org.ragworttide.coordination.message.LimitMessage.Want;
+import org.ragworttide.protocol.wire.LimitAnswer;
+import org.ragworttide.protocol.wire.LimitAsk;
+import org.ragworttide.protocol.wire.LimitClose;
+import org.ragworttide.protocol.wire.LimitEnvelope;
+import org.ragworttide.protocol.wire.LimitGrant;
+import org.ragworttide.protocol.wire.LimitWant;
+
+/**
+ * Translates the messages of the fleet-wide rates.
+ *
+ * <p>Invariant: what a peer sends is decoded only if all its numbers make sense. Stateless, safe
+ * for use by any thread.
+ */
+public final class LimitCodec {
+  private static final int MAX_ENTRIES = 256;
+  private static final int MAX_TOKENS = 4_096;
+  private static final int MAX_MILLIS = 86_400_000;
+
+  private LimitCodec() {}
+
+  /** Returns the message in its form for the wire. */
+  public static LimitEnvelope encode(LimitMessage message) {
+    LimitEnvelope.Builder envelope = LimitEnvelope.newBuilder();
+    switch (message) {
+      case Ask ask -> envelope.setAsk(toWire(ask));
+      case Answer answer -> envelope.setAnswer(toWire(answer));
+    }
+    return envelope.build();
+  }
+
+  /** Returns the message, or nothing if it is incomplete or absurd. */
+  public static Optional<LimitMessage> decode(LimitEnvelope envelope) {
+    return switch (envelope.getMessageCase()) {
+      case ASK -> fromWire(envelope.getAsk());
+      case ANSWER -> fromWire(envelope.getAnswer());
+      case MESSAGE_NOT_SET -> Optional.empty();
+    };
+  }
+
+  private static LimitAsk toWire(Ask ask) {
+    LimitAsk.Builder wire = LimitAsk.newBuilder().setAskId(ask.askId());
+    for (Want want : ask.wants()) {
+      wire.addWants(
+          LimitWant.newBuilder()
+              .setOrganisation(want.organisation().value())
+              .addAllRequests(want.requests())
+              .setSpareTokens(want.spareTokens()));
+    }
+    for (Close close : ask.closes()) {
+      wire.addCloses(
+          LimitClose.newBuilder().setPermitId(close.permitId()).addAllRequests(close.requests()));
+    }
+    return wire.build();
+  }
+
+  private static LimitAnswer toWire(Answer answer) {
+    LimitAnswer.Builder wire = LimitAnswer.newBuilder().setAskId(answer.askId());
+    for (Grant grant : answer.grants()) {
+      wire.addGrants(
+          LimitGrant.newBuilder()
+              .setOwned(grant.owned())
+              .setPermitId(grant.permitId())
+              .setTokens(grant.tokens())
+              .setDurationMillis(grant.durationMillis())
+              .setScarce(grant.scarce())
+              .setRetryAfterMillis(grant.retryAfterMillis())
+              .addAllCounted(grant.counted()));
+    }
+    return wire.build();
+  }
+
+  private static Optional<LimitMessage> fromWire(LimitAsk wire) {
+    Optional<List<Want>> wants =
+        WireChecks.all(wire.getWantsList(), MAX_ENTRIES, LimitCodec::fromWire);
+    Optional<List<Close>> closes =
+        WireChecks.all(wire.getClosesList(), MAX_ENTRIES, LimitCodec::fromWire);
+    return wants.flatMap(some -> closes.map(others -> new Ask(wire.getAskId(), some, others)));
+  }
+
+  private static Optional<Want> fromWire(LimitWant wire) {
+    boolean usable =
+        WireChecks.isId(wire.getOrganisation())
+            && wire.getRequestsCount() <= MAX_ENTRIES
+            && isWithin(wire.getSpareTokens(), MAX_TOKENS);
+    return usable
+        ? Optional.of(
+            new Want(
+                new OrganisationId(wire.getOrganisation()),
+                wire.getRequestsList(),
+                wire.getSpareTokens()))
+        : Optional.empty();
+  }
+
+  private static Optional<Close> fromWire(LimitClose wire) {
+    return wire.getRequestsCount() <= MAX_TOKENS
+        ? Optional.of(new Close(wire.getPermitId(), wire.getRequestsList()))
+        : Optional.empty();
+  }
+
+  private static Optional<LimitMessage> fromWire(LimitAnswer wire) {
+    return WireChecks.all(wire.getGrantsList(), MAX_ENTRIES, LimitCodec::fromWire)
+        .map(grants -> new Answer(wire.getAskId(), grants));
+  }
+
+  private static Optional<Grant> fromWire(LimitGrant wire) {
+    boolean usable =
+        isWithin(wire.getTokens(), MAX_TOKENS)
+            && isWithin(wire.getDurationMillis(), MAX_MILLIS)
+            && isWithin(wire.getRetryAfterMillis(), MAX_MILLIS)
+            && wire.getCountedCount() <= MAX_ENTRIES;
+    return usable
+        ? Optional.of(
+            new Grant(
+                wire.getOwned(),
+                wire.getPermitId(),
+                wire.getTokens(),
+                wire.getDurationMillis(),
+                wire.getScarce(),
+                wire.getRetryAfterMillis(),
+                wire.getCountedList()))
+        : Optional.empty();
+  }
+
+  private static boolean isWithin(int value, int max) {
+    return value >= 0 && value <= max;
+  }
+}
