Admit requests to cold upstreams by permits of their owner

Cause: an upstream in cold start falls over under full load, and no daemon alone knows how much the others send there.

What is not known to be warm is cold. A permit is valid no longer than the lease; a holder counts its time from when it asked. A permit counts until it is returned, or until its request cannot run any more. A holder that gave up on an answer says so in its next question, so a lost grant does not block an upstream.

Ruled out: warmth leased to each daemon for seconds (one question per request at 600 engines and 350 daemons); an equal share of the limit for each daemon (none gets a whole request).

--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/PermitPool.java
@@ -0,0 +1,124 @@
+package org.ragworttide.coordination.admission;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.ragworttide.coordination.message.AdmissionMessage.Grant;
+
+/**
+ * This daemon's permits for one upstream.
+ *
+ * <p>Invariant: a request starts only under a permit that has not expired, and a permit starts one
+ * request. Confined to the coordination thread.
+ */
+final class PermitPool {
+  private static final long NO_QUESTION = 0;
+
+  private final Deque<Long> unused = new ArrayDeque<>();
+  private final Deque<Long> running = new ArrayDeque<>();
+  private long expiresAtMillis;
+  private long question = NO_QUESTION;
+  private long abandonedFrom = NO_QUESTION;
+  private long askedAtMillis;
+  private boolean warm;
+  private long incarnation;
+  private int warmRunning;
+
+  boolean isWarm() {
+    return warm;
+  }
+
+  long incarnation() {
+    return incarnation;
+  }
+
+  /** Takes over which process runs at the upstream; a new one is cold. */
+  void incarnation(long value) {
+    if (incarnation != value) {
+      incarnation = value;
+      warm = false;
+    }
+  }
+
+  void warm(boolean nowWarm) {
+    warm = nowWarm;
+  }
+
+  /** Starts a request if the upstream is warm or a valid permit is left. */
+  boolean tryStart(long nowMillis) {
+    if (warm) {
+      warmRunning++;
+      return true;
+    }
+    if (nowMillis >= expiresAtMillis || unused.isEmpty()) {
+      return false;
+    }
+    running.add(unused.poll());
+    return true;
+  }
+
+  /**
+   * Ends a request and returns the permits to give back; requests without a permit count as ended
+   * first, so that no permit is given back too early.
+   */
+  List<Long> end() {
+    if (warmRunning > 0 || running.isEmpty()) {
+      warmRunning--;
+      return List.of();
+    }
+    return List.of(running.poll());
+  }
+
+  /** Tells whether a question may be sent now. */
+  boolean mayAsk(long nowMillis, long timeoutMillis) {
+    return question == NO_QUESTION || nowMillis - askedAtMillis >= timeoutMillis;
+  }
+
+  /** Opens a question and returns the first one since the last answer. */
+  long asked(long number, long nowMillis) {
+    abandonedFrom = question == NO_QUESTION ? number : abandonedFrom;
+    question = number;
+    askedAtMillis = nowMillis;
+    return abandonedFrom;
+  }
+
+  /** Tells whether a question has not been answered in time. */
+  boolean isOverdue(long nowMillis, long timeoutMillis) {
+    return question != NO_QUESTION && nowMillis - askedAtMillis >= timeoutMillis;
+  }
+
+  /** Tells whether the answer is to the open question, and closes it. */
+  boolean closeQuestion(long number) {
+    boolean open = question != NO_QUESTION && question == number;
+    if (open) {
+      question = NO_QUESTION;
+    }
+    return open;
+  }
+
+  /** Takes permits over, counted from when the question was sent, and returns the older ones. */
+  List<Long> grant(Grant grant, double clockRateTolerance) {
+    final List<Long> older = List.copyOf(unused);
+    unused.clear();
+    expiresAtMillis = askedAtMillis + (long) (grant.validMillis() * (1 - clockRateTolerance));
+    for (int i = 0; i < grant.permits(); i++) {
+      unused.add(grant.firstPermit() + i);
+    }
+    return older;
+  }
+
+  /** Removes and returns the permits that expired without a request. */
+  List<Long> expire(long nowMillis) {
+    if (nowMillis < expiresAtMillis || unused.isEmpty()) {
+      return List.of();
+    }
+    List<Long> expired = new ArrayList<>(unused);
+    unused.clear();
+    return expired;
+  }
+
+  int runningCold() {
+    return running.size();
+  }
+}
