--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/peer/PeerLinks.java
@@ -0,0 +1,75 @@
+package org.ragworttide.daemon.peer;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.PeerMessage;
+import org.ragworttide.coordination.message.Transport;
+import org.ragworttide.protocol.PeerFrameCodec;
+import reactor.netty.tcp.TcpClient;
+
+/**
+ * Sends messages to peers by the addresses of the VM list.
+ *
+ * <p>Invariant: one link for each address in use. Confined to the coordination thread.
+ */
+public final class PeerLinks implements Transport {
+  private final TcpClient client;
+  private final PeerIdentity self;
+  private final PeerTraffic traffic;
+  private final Function<VmId, Optional<String>> addresses;
+  private final Map<VmId, AddressedLink> links = new HashMap<>();
+
+  /**
+   * Creates links that open on demand.
+   *
+   * @param client how to connect, with TLS where settings ask for it
+   * @param addresses tells a VM's peer address as host and port
+   */
+  public PeerLinks(
+      TcpClient client,
+      PeerIdentity self,
+      PeerTraffic traffic,
+      Function<VmId, Optional<String>> addresses) {
+    this.client = client;
+    this.self = self;
+    this.traffic = traffic;
+    this.addresses = addresses;
+  }
+
+  @Override
+  public void send(VmId to, PeerMessage message) {
+    Optional<String> address = addresses.apply(to);
+    if (address.isEmpty()) {
+      traffic.droppedFrames.inc();
+      return;
+    }
+    link(to, address.get()).offer(PeerFrameCodec.encode(message));
+  }
+
+  /** Closes all links once their waiting frames are written. */
+  public void close() {
+    links.values().forEach(addressed -> addressed.link().dispose());
+    links.clear();
+  }
+
+  private PeerLink link(VmId to, String address) {
+    AddressedLink existing = links.get(to);
+    if (existing != null && existing.address().equals(address)) {
+      return existing.link();
+    }
+    if (existing != null) {
+      existing.link().dispose();
+    }
+    int colon = address.lastIndexOf(':');
+    String host = address.substring(0, colon);
+    int port = Integer.parseInt(address.substring(colon + 1));
+    PeerLink link = new PeerLink(client, host, port, self, traffic);
+    links.put(to, new AddressedLink(address, link));
+    return link;
+  }
+
+  private record AddressedLink(String address, PeerLink link) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/peer/PeerNetwork.java
@@ -0,0 +1,64 @@
+package org.ragworttide.daemon.peer;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.Optional;
+import java.util.function.Function;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.PeerMessage;
+import org.ragworttide.coordination.message.Transport;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.tcp.TcpClient;
+import reactor.netty.tcp.TcpServer;
+
+/**
+ * Joins a daemon to its peers: one listener and a link to each peer in use.
+ *
+ * <p>Sending is confined to the coordination thread; the rest is safe for use by any thread.
+ */
+public final class PeerNetwork implements Transport {
+  private final PeerLinks links;
+  private final PeerServer server;
+  private volatile DisposableServer listener;
+
+  /**
+   * Creates the network without listening yet.
+   *
+   * @param self who this daemon is
+   * @param inbox where messages of peers go
+   * @param addresses tells a VM's peer address as host and port
+   * @param metrics where traffic is counted
+   */
+  public PeerNetwork(
+      PeerIdentity self,
+      PeerInbox inbox,
+      Function<VmId, Optional<String>> addresses,
+      MetricRegistry metrics) {
+    PeerTraffic traffic = new PeerTraffic(metrics);
+    this.links = new PeerLinks(TcpClient.newConnection(), self, traffic, addresses);
+    this.server = new PeerServer(self, inbox, traffic);
+  }
+
+  /** Starts listening. */
+  public Mono<Void> bind(String host, int port) {
+    return server.bind(TcpServer.create(), host, port).doOnNext(it -> listener = it).then();
+  }
+
+  @Override
+  public void send(VmId to, PeerMessage message) {
+    links.send(to, message);
+  }
+
+  /** Returns the port that the listener uses. */
+  public int port() {
+    return listener.port();
+  }
+
+  /** Stops listening and closes the links; on the coordination thread. */
+  public void close() {
+    links.close();
+    if (listener != null) {
+      listener.disposeNow();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/DaemonStatus.java
@@ -0,0 +1,91 @@
+package org.ragworttide.daemon.runtime;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.ragworttide.coordination.id.Incarnation;
+import org.ragworttide.coordination.membership.VmEntry;
+import org.ragworttide.coordination.membership.VmList;
+import org.ragworttide.daemon.log.EventLog;
+import org.ragworttide.daemon.log.LogEvent;
+import org.ragworttide.document.ConfigurationDocument;
+import org.ragworttide.document.settings.DaemonSettings;
+
+/**
+ * What operators see of a daemon, taken from the coordination thread at intervals.
+ *
+ * <p>Invariant: a daemon that drains is never ready. Refreshed on the coordination thread, read by
+ * any thread.
+ */
+final class DaemonStatus {
+  static final long REFRESH_MILLIS = 100;
+
+  private final DaemonSettings settings;
+  private final Incarnation incarnation;
+  private final ControlPlane plane;
+  private final ConfigurationHolder configuration;
+  private final BooleanSupplier draining;
+  private volatile Map<String, Object> sections = Map.of();
+  private volatile boolean converged;
+
+  DaemonStatus(
+      DaemonSettings settings,
+      Incarnation incarnation,
+      ControlPlane plane,
+      ConfigurationHolder configuration,
+      BooleanSupplier draining) {
+    this.settings = settings;
+    this.incarnation = incarnation;
+    this.plane = plane;
+    this.configuration = configuration;
+    this.draining = draining;
+  }
+
+  boolean isReady() {
+    return converged && !draining.getAsBoolean();
+  }
+
+  Map<String, Object> sections() {
+    return sections;
+  }
+
+  void refresh() {
+    ConfigurationDocument document = configuration.current();
+    boolean ready = document != null && plane.versions().isReady();
+    if (ready && !converged) {
+      EventLog.log(LogEvent.READY, document.version());
+    }
+    converged = ready;
+    Map<String, Object> next = new LinkedHashMap<>();
+    next.put("vm", settings.vm().value());
+    next.put("zone", settings.zone().value());
+    next.put("fleet", settings.fleet());
+    next.put("incarnation", incarnation.toString());
+    next.put("ready", isReady());
+    next.put("draining", draining.getAsBoolean());
+    next.put("configurationVersion", document == null ? 0 : document.version());
+    next.put("configurationReader", plane.versions().isReader());
+    next.put("vmListVersion", plane.membership().list().map(VmList::version).orElse(0L));
+    next.put("vms", plane.membership().list().map(this::vms).orElse(List.of()));
+    next.put("quarantined", plane.quarantine().size());
+    sections = next;
+  }
+
+  private List<Map<String, Object>> vms(VmList list) {
+    return list.vms().stream().map(this::vm).toList();
+  }
+
+  private Map<String, Object> vm(VmEntry entry) {
+    Map<String, Object> vm = new LinkedHashMap<>();
+    vm.put("id", entry.id().value());
+    vm.put("zone", entry.zone().value());
+    vm.put("state", entry.state().name());
+    vm.put("address", entry.address());
+    vm.put("suspected", plane.membership().isSuspected(entry.id()));
+    vm.put(
+        "incarnation",
+        plane.membership().incarnationOf(entry.id()).map(Incarnation::toString).orElse(""));
+    return vm;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/FleetRateLimits.java
@@ -0,0 +1,41 @@
+package org.ragworttide.daemon.runtime;
+
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.limits.LimitDecision;
+import org.ragworttide.coordination.limits.RefusalReason;
+import org.ragworttide.daemon.decision.RateDecision;
+import org.ragworttide.daemon.decision.RateLimits;
+import org.ragworttide.daemon.decision.RequestId;
+import reactor.core.publisher.Mono;
+
+/**
+ * Admits requests by the fleet-wide limits.
+ *
+ * <p>Invariant: the limits are touched on the coordination thread only. Safe for use by any thread.
+ */
+final class FleetRateLimits implements RateLimits {
+  private final CoordinationLoop loop;
+  private final ControlPlane plane;
+
+  FleetRateLimits(CoordinationLoop loop, ControlPlane plane) {
+    this.loop = loop;
+    this.plane = plane;
+  }
+
+  @Override
+  public Mono<RateDecision> acquire(OrganisationId organisation, RequestId request) {
+    return loop.<LimitDecision>call(
+            answer -> plane.limits().acquire(organisation, request.value(), answer))
+        .map(FleetRateLimits::translate);
+  }
+
+  private static RateDecision translate(LimitDecision decision) {
+    return switch (decision) {
+      case LimitDecision.Admitted admitted -> new RateDecision.Admitted();
+      case LimitDecision.Refused refused ->
+          refused.reason() == RefusalReason.RATE_EXCEEDED
+              ? new RateDecision.Limited(refused.retryAfterMillis())
+              : new RateDecision.Unavailable(refused.retryAfterMillis());
+    };
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/RouterPlacement.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/RouterPlacement.java
@@ -3,7 +3,9 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.ragworttide.coordination.admission.ColdAdmission;
 import org.ragworttide.coordination.id.ChatId;
 import org.ragworttide.coordination.id.ModelId;
 import org.ragworttide.coordination.id.OrganisationId;
@@ -13,7 +15,9 @@
 import org.ragworttide.coordination.routing.RouteRequest;
 import org.ragworttide.coordination.routing.RouteResult;
 import org.ragworttide.coordination.routing.Router;
+import org.ragworttide.coordination.routing.Slot;
 import org.ragworttide.coordination.routing.ZoneState;
+import org.ragworttide.daemon.decision.AttemptOutcome;
 import org.ragworttide.daemon.decision.Placement;
 import org.ragworttide.daemon.decision.PlacementDecision;
 import org.ragworttide.daemon.decision.PlacementRefusal;
@@ -32,15 +36,20 @@
 final class RouterPlacement implements Placement {
   private static final OrganisationId OPEN = new OrganisationId("open");
 
+  private static final long WAIT_STEP_MILLIS = 20;
+  private static final long MAX_WAIT_MILLIS = 2_000;
+
   private final CoordinationLoop loop;
   private final Router router;
+  private final ColdAdmission cold;
   private final Supplier<ConfigurationDocument> configuration;
   private Map<UpstreamId, InetSocketAddress> addresses = Map.of();
 
   RouterPlacement(
-      CoordinationLoop loop, Router router, Supplier<ConfigurationDocument> configuration) {
+      CoordinationLoop loop, ControlPlane plane, Supplier<ConfigurationDocument> configuration) {
     this.loop = loop;
-    this.router = router;
+    this.router = plane.router();
+    this.cold = plane.coldAdmission();
     this.configuration = configuration;
   }
 
@@ -56,7 +65,28 @@
 
   @Override
   public Mono<PlacementDecision> place(PlacementRequest request) {
-    return loop.call(answer -> answer.accept(decide(request)));
+    return loop.call(answer -> tryPlace(request, loop.nowMillis(), answer));
+  }
+
+  private void tryPlace(
+      PlacementRequest request, long sinceMillis, Consumer<PlacementDecision> answer) {
+    PlacementDecision decision = decide(request);
+    if (mayWait(request, decision, sinceMillis)) {
+      loop.after(WAIT_STEP_MILLIS, () -> tryPlace(request, sinceMillis, answer));
+    } else {
+      answer.accept(decision);
+    }
+  }
+
+  private boolean mayWait(PlacementRequest request, PlacementDecision decision, long sinceMillis) {
+    if (!(decision instanceof PlacementDecision.Refused refused)) {
+      return false;
+    }
+    boolean passing =
+        refused.refusal() == PlacementRefusal.COLD
+            || refused.refusal() == PlacementRefusal.OVERLOADED;
+    boolean waitedLong = loop.nowMillis() - sinceMillis >= MAX_WAIT_MILLIS;
+    return passing && !waitedLong && request.deadline().remainingMillis() > MAX_WAIT_MILLIS;
   }
 
   private static Map<ZoneId, ZoneState> zones(ConfigurationDocument document) {
@@ -84,7 +114,21 @@
   private PlacementDecision placed(RouteResult.Chosen chosen) {
     UpstreamId upstream = chosen.slot().upstream();
     return new PlacementDecision.Placed(
-        upstream, addresses.get(upstream), outcome -> loop.execute(() -> chosen.slot().release()));
+        upstream,
+        addresses.get(upstream),
+        outcome -> loop.execute(() -> release(chosen.slot(), outcome)));
+  }
+
+  private void release(Slot slot, AttemptOutcome outcome) {
+    switch (outcome) {
+      case AttemptOutcome.Answered answered ->
+          cold.answered(slot.upstream(), answered.firstByteMillis());
+      case AttemptOutcome.Unreachable unreachable -> cold.failed(slot.upstream());
+      case AttemptOutcome.Lost lost -> cold.failed(slot.upstream());
+      case AttemptOutcome.Stalled stalled -> cold.failed(slot.upstream());
+      case AttemptOutcome.Cancelled cancelled -> {}
+    }
+    slot.release();
   }
 
   private static PlacementRefusal reason(RefusalReason reason) {
--- /dev/null
+++ b/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
@@ -0,0 +1,183 @@
+package org.ragworttide.daemon.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.ragworttide.coordination.id.Incarnation;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.MembershipMessage;
+import org.ragworttide.coordination.message.PeerMessage;
+import org.ragworttide.protocol.PeerFrameCodec;
+import org.ragworttide.protocol.wire.PeerFrame;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests what a daemon does with good, foreign and malformed peers. */
+public class PeerNetworkTest {
+  private static final String HOST = "127.0.0.1";
+  private static final long LONG_ENOUGH_SECONDS = 10;
+  private static final PeerMessage MESSAGE = new MembershipMessage.ListRequest(7, 0, 0);
+
+  private final MetricRegistry metrics = new MetricRegistry();
+  private BlockingQueue<PeerMessage> received;
+  private PeerNetwork receiver;
+  private int port;
+
+  /** Starts the receiving daemon's network. */
+  @BeforeMethod
+  public void listen() {
+    received = new LinkedBlockingQueue<>();
+    receiver =
+        new PeerNetwork(
+            identity("fleet", "vm-1"),
+            (from, run, message) -> received.add(message),
+            vm -> Optional.empty(),
+            metrics);
+    receiver.bind(HOST, 0).block();
+    port = receiver.port();
+  }
+
+  /** Stops the receiving daemon's network. */
+  @AfterMethod
+  public void close() {
+    receiver.close();
+  }
+
+  @Test
+  public void messageReachesItsPeer() throws InterruptedException {
+    PeerNetwork sender = sender("fleet");
+    sender.send(new VmId("vm-1"), MESSAGE);
+    assertEquals(received.poll(LONG_ENOUGH_SECONDS, TimeUnit.SECONDS), MESSAGE);
+    sender.close();
+  }
+
+  @Test
+  public void messageAfterThePeerHasRestartedReachesIt() throws InterruptedException {
+    PeerNetwork sender = sender("fleet");
+    sender.send(new VmId("vm-1"), MESSAGE);
+    assertEquals(received.poll(LONG_ENOUGH_SECONDS, TimeUnit.SECONDS), MESSAGE);
+    receiver.close();
+    receiver.bind(HOST, port).block();
+    assertEquals(repeatUntilReceived(sender), MESSAGE);
+    sender.close();
+  }
+
+  @Test
+  public void peerOfAnotherFleetIsRefused() throws InterruptedException {
+    long before = refused();
+    PeerNetwork sender = sender("another fleet");
+    sender.send(new VmId("vm-1"), MESSAGE);
+    awaitRefused(before);
+    assertNull(received.poll());
+    sender.close();
+  }
+
+  @Test
+  public void messageBeforeTheIntroductionIsRefused() throws Exception {
+    long before = refused();
+    try (Socket socket = new Socket(HOST, port)) {
+      write(socket, PeerFrameCodec.encode(MESSAGE).toByteArray());
+      awaitRefused(before);
+    }
+    assertNull(received.poll());
+  }
+
+  @Test
+  public void unknownTopicIsIgnoredAndTheNextMessageTaken() throws Exception {
+    long before = refused();
+    try (Socket socket = new Socket(HOST, port)) {
+      write(socket, PeerFrames.hello(identity("fleet", "vm-2")).toByteArray());
+      write(socket, PeerFrame.getDefaultInstance().toByteArray());
+      write(socket, PeerFrameCodec.encode(MESSAGE).toByteArray());
+      assertEquals(received.poll(LONG_ENOUGH_SECONDS, TimeUnit.SECONDS), MESSAGE);
+    }
+    assertEquals(refused(), before + 1);
+  }
+
+  @Test
+  public void randomFramesLeaveTheServerUnharmed() throws Exception {
+    long seed = Long.getLong("seed", 1);
+    System.out.println("seed " + seed);
+    SplittableRandom random = new SplittableRandom(seed);
+    for (int i = 0; i < 200; i++) {
+      byte[] junk = new byte[random.nextInt(1, 200)];
+      random.nextBytes(junk);
+      try (Socket socket = new Socket(HOST, port)) {
+        write(socket, PeerFrames.hello(identity("fleet", "vm-2")).toByteArray());
+        write(socket, junk);
+      }
+    }
+    messageReachesItsPeer();
+  }
+
+  @Test
+  public void truncatedFrameLeavesTheServerUnharmed() throws Exception {
+    try (Socket socket = new Socket(HOST, port)) {
+      DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+      out.writeInt(100);
+      out.writeByte(1);
+    }
+    messageReachesItsPeer();
+  }
+
+  @Test
+  public void frameAboveTheLimitEndsOnlyItsConnection() throws Exception {
+    try (Socket socket = new Socket(HOST, port)) {
+      new DataOutputStream(socket.getOutputStream()).writeInt(Integer.MAX_VALUE);
+      assertEquals(socket.getInputStream().read(), -1);
+    }
+    messageReachesItsPeer();
+  }
+
+  private PeerMessage repeatUntilReceived(PeerNetwork sender) throws InterruptedException {
+    // A frame written to the lost connection is lost too; peers repeat what matters.
+    for (int i = 0; i < LONG_ENOUGH_SECONDS * 10; i++) {
+      sender.send(new VmId("vm-1"), MESSAGE);
+      PeerMessage message = received.poll(100, TimeUnit.MILLISECONDS);
+      if (message != null) {
+        return message;
+      }
+    }
+    return null;
+  }
+
+  private long refused() {
+    return metrics.counter("control.refused.frames").getCount();
+  }
+
+  private void awaitRefused(long before) throws InterruptedException {
+    for (int i = 0; i < LONG_ENOUGH_SECONDS * 100 && refused() == before; i++) {
+      Thread.sleep(10);
+    }
+    assertEquals(refused(), before + 1);
+  }
+
+  private PeerNetwork sender(String fleet) {
+    return new PeerNetwork(
+        identity(fleet, "vm-2"),
+        (from, run, message) -> {},
+        vm -> Optional.of(HOST + ":" + port),
+        new MetricRegistry());
+  }
+
+  private static PeerIdentity identity(String fleet, String vm) {
+    return new PeerIdentity(fleet, new VmId(vm), new Incarnation(1));
+  }
+
+  private static void write(Socket socket, byte[] frame) throws IOException {
+    DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+    out.writeInt(frame.length);
+    out.write(frame);
+    out.flush();
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/ragworttide/protocol/PeerFrameCodec.java
@@ -0,0 +1,57 @@
+package org.ragworttide.protocol;
+
+import java.util.Optional;
+import org.ragworttide.coordination.message.AdmissionMessage;
+import org.ragworttide.coordination.message.ClaimMessage;
+import org.ragworttide.coordination.message.GroupMessage;
+import org.ragworttide.coordination.message.LeaseMessage;
+import org.ragworttide.coordination.message.LimitMessage;
+import org.ragworttide.coordination.message.MembershipMessage;
+import org.ragworttide.coordination.message.PeerMessage;
+import org.ragworttide.coordination.message.QuarantineMessage;
+import org.ragworttide.coordination.message.VersionMessage;
+import org.ragworttide.protocol.wire.ClaimEnvelope;
+import org.ragworttide.protocol.wire.GroupEnvelope;
+import org.ragworttide.protocol.wire.LeaseEnvelope;
+import org.ragworttide.protocol.wire.PeerFrame;
+
+/**
+ * Translates messages of all topics to frames and back.
+ *
+ * <p>Invariant: what is decoded has passed the checks of its topic. Stateless, safe for use by any
+ * thread.
+ */
+public final class PeerFrameCodec {
+
+  private PeerFrameCodec() {}
+
+  /** Returns the frame that carries the message. */
+  public static PeerFrame encode(PeerMessage message) {
+    PeerFrame.Builder frame = PeerFrame.newBuilder();
+    switch (message) {
+      case MembershipMessage topic -> frame.setMembership(MembershipCodec.encode(topic));
+      case GroupMessage topic -> frame.setGroup(GroupEnvelope.getDefaultInstance());
+      case LeaseMessage topic -> frame.setLease(LeaseEnvelope.getDefaultInstance());
+      case ClaimMessage topic -> frame.setClaim(ClaimEnvelope.getDefaultInstance());
+      case LimitMessage topic -> frame.setLimit(LimitCodec.encode(topic));
+      case VersionMessage topic -> frame.setVersion(VersionCodec.encode(topic));
+      case QuarantineMessage topic -> frame.setQuarantine(QuarantineCodec.encode(topic));
+      case AdmissionMessage topic -> frame.setAdmission(AdmissionCodec.encode(topic));
+    }
+    return frame.build();
+  }
+
+  /** Returns the message of the frame, if it is known and well formed. */
+  public static Optional<PeerMessage> decode(PeerFrame frame) {
+    Optional<? extends PeerMessage> message =
+        switch (frame.getTopicCase()) {
+          case MEMBERSHIP -> MembershipCodec.decode(frame.getMembership());
+          case LIMIT -> LimitCodec.decode(frame.getLimit());
+          case VERSION -> VersionCodec.decode(frame.getVersion());
+          case QUARANTINE -> QuarantineCodec.decode(frame.getQuarantine());
+          case ADMISSION -> AdmissionCodec.decode(frame.getAdmission());
+          case GROUP, LEASE, CLAIM, HELLO, TOPIC_NOT_SET -> Optional.empty();
+        };
+    return message.map(PeerMessage.class::cast);
+  }
+}
