Add groups of voters, their learning and the majority lease

Every shard has up to five voters of the adopted VM list, spread over availability zones, and a fixed quorum. One voter serves leases and claims: votes bind for a time, a process that has started keeps quiet until answers of its earlier run can no longer be counted, and then learns from a quorum of informed peers under the same list, or waits until all votes have expired once too few VMs are behind to form an older quorum. Leases count from before the request is sent. Messages carry many shards.

Weighed: a hand-over of votes between the groups of two lists, dropped since the model shows members of both groups carry what is needed.

--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/group/GroupSelection.java
@@ -0,0 +1,87 @@
+package org.ragworttide.coordination.group;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ragworttide.coordination.hash.Rendezvous;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.id.ZoneId;
+import org.ragworttide.coordination.membership.VmEntry;
+import org.ragworttide.coordination.membership.VmList;
+import org.ragworttide.coordination.membership.VmState;
+
+/**
+ * Chooses the group of each shard from the live VMs of one list, spread over availability zones.
+ *
+ * <p>Invariants: the same list gives the same groups on every daemon; a group takes one VM of each
+ * availability zone before a second of any. Groups are ordered, first the preferred owner.
+ * Immutable, safe for use by any thread.
+ */
+public final class GroupSelection {
+  private final VmList list;
+  private final List<List<VmId>> groups;
+
+  /** Chooses the groups of all shards. */
+  public GroupSelection(VmList list, GroupSize size) {
+    this.list = list;
+    List<Candidate> live =
+        list.vms().stream().filter(vm -> vm.state() == VmState.LIVE).map(Candidate::new).toList();
+    List<List<VmId>> chosen = new ArrayList<>(Shard.COUNT);
+    for (int shard = 0; shard < Shard.COUNT; shard++) {
+      chosen.add(choose(Rendezvous.hash("shard-" + shard), live, size.voters()));
+    }
+    this.groups = List.copyOf(chosen);
+  }
+
+  /** Returns the list. */
+  public VmList list() {
+    return list;
+  }
+
+  /** Returns the group of a shard, the preferred owner first. */
+  public List<VmId> group(Shard shard) {
+    return groups.get(shard.number());
+  }
+
+  private static List<VmId> choose(long shardHash, List<Candidate> live, int voters) {
+    List<Candidate> ordered =
+        live.stream()
+            .sorted(
+                Comparator.<Candidate>comparingLong(vm -> Rendezvous.weight(shardHash, vm.hash))
+                    .reversed())
+            .toList();
+    Map<VmId, Integer> rounds = roundsByZone(ordered);
+    return ordered.stream()
+        .sorted(Comparator.comparingInt(vm -> rounds.get(vm.id)))
+        .limit(voters)
+        .map(Candidate::id)
+        .toList();
+  }
+
+  private static Map<VmId, Integer> roundsByZone(List<Candidate> ordered) {
+    Map<ZoneId, Integer> taken = new HashMap<>();
+    Map<VmId, Integer> rounds = new HashMap<>();
+    for (Candidate vm : ordered) {
+      rounds.put(vm.id, taken.merge(vm.zone, 1, Integer::sum));
+    }
+    return rounds;
+  }
+
+  /** Returns all VMs that have a shard in common with the given one. */
+  public Set<VmId> peers(VmId self) {
+    Set<VmId> peers = new HashSet<>();
+    groups.stream().filter(group -> group.contains(self)).forEach(peers::addAll);
+    peers.remove(self);
+    return peers;
+  }
+
+  private record Candidate(VmId id, ZoneId zone, long hash) {
+    private Candidate(VmEntry vm) {
+      this(vm.id(), vm.zone(), Rendezvous.hash(vm.id().value()));
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/group/Learner.java
@@ -0,0 +1,169 @@
+package org.ragworttide.coordination.group;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.ragworttide.coordination.group.IgnoredMessages.Reason;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.membership.VmEntry;
+import org.ragworttide.coordination.message.GroupMessage.AdoptedAnswer;
+import org.ragworttide.coordination.message.GroupMessage.AdoptedRequest;
+import org.ragworttide.coordination.message.GroupMessage.LearnAnswer;
+import org.ragworttide.coordination.message.GroupMessage.LearnRequest;
+import org.ragworttide.coordination.message.GroupMessage.ShardVotes;
+import org.ragworttide.coordination.message.Transport;
+
+/**
+ * Collects the votes of informed peers for a voter that is new or has restarted.
+ *
+ * <p>Invariants: answers count only within the collection window, under one list version and one
+ * attempt; a quorum of other members informs the voter. Used on the coordination thread only.
+ */
+final class Learner {
+  private static final int MAX_SHARDS_PER_MESSAGE = 128;
+  private static final int ASKS_BEFORE_WAITING = 2;
+
+  private final VmId self;
+  private final Transport transport;
+  private final VoterSettings settings;
+  private final AttemptNumbers attempts;
+  private final IgnoredMessages ignored;
+  private final Map<Integer, Map<VmId, BitSet>> heardParts = new HashMap<>();
+  private final Set<VmId> confirmed = new HashSet<>();
+  private GroupSelection groups;
+  private long attempt;
+  private long attemptSinceMillis;
+  private long attemptVersion;
+  private int asksUnderList;
+
+  Learner(
+      VmId self,
+      Transport transport,
+      VoterSettings settings,
+      AttemptNumbers attempts,
+      IgnoredMessages ignored) {
+    this.self = self;
+    this.transport = transport;
+    this.settings = settings;
+    this.attempts = attempts;
+    this.ignored = ignored;
+  }
+
+  /** Asks for the shards that are not yet learned. */
+  void ask(GroupSelection adopted, List<Integer> shards, long nowMillis) {
+    groups = adopted;
+    long version = groups.list().version();
+    if (version != attemptVersion || nowMillis - attemptSinceMillis >= settings.windowMillis()) {
+      beginAttempt(version, nowMillis);
+    }
+    Map<VmId, List<Integer>> byPeer = new TreeMap<>();
+    for (int shard : shards) {
+      for (VmId peer : groups.group(new Shard(shard))) {
+        if (!peer.equals(self) && !isHeard(shard, peer)) {
+          byPeer.computeIfAbsent(peer, any -> new ArrayList<>()).add(shard);
+        }
+      }
+    }
+    byPeer.forEach(this::send);
+    if (++asksUnderList > ASKS_BEFORE_WAITING) {
+      askAdopted();
+    }
+  }
+
+  private void beginAttempt(long version, long nowMillis) {
+    asksUnderList = version == attemptVersion ? asksUnderList : 0;
+    attempt = attempts.next();
+    attemptVersion = version;
+    attemptSinceMillis = nowMillis;
+    heardParts.clear();
+    confirmed.clear();
+  }
+
+  private void send(VmId peer, List<Integer> shards) {
+    for (int from = 0; from < shards.size(); from += MAX_SHARDS_PER_MESSAGE) {
+      int to = Math.min(shards.size(), from + MAX_SHARDS_PER_MESSAGE);
+      transport.send(
+          peer,
+          new LearnRequest(settings.topic(), attemptVersion, attempt, shards.subList(from, to)));
+    }
+  }
+
+  private void askAdopted() {
+    for (VmEntry vm : groups.list().vms()) {
+      if (!vm.id().equals(self) && !confirmed.contains(vm.id())) {
+        transport.send(vm.id(), new AdoptedRequest(settings.topic(), attempt));
+      }
+    }
+  }
+
+  /** Tells whether an answer belongs to the open attempt. */
+  boolean isCurrent(LearnAnswer answer, long nowMillis) {
+    return isCurrent(answer.attempt(), nowMillis) && answer.version() == attemptVersion;
+  }
+
+  private boolean isCurrent(long number, long nowMillis) {
+    return groups != null
+        && number == attempt
+        && groups.list().version() == attemptVersion
+        && nowMillis - attemptSinceMillis < settings.windowMillis();
+  }
+
+  /** Counts a part of a current answer and tells whether its votes are to be taken over. */
+  boolean acceptVotes(VmId from, ShardVotes part) {
+    if (from.equals(self) || !groups.group(new Shard(part.shard())).contains(from)) {
+      ignored.count(Reason.UNKNOWN_SENDER);
+      return false;
+    }
+    heardParts
+        .computeIfAbsent(part.shard(), any -> new HashMap<>())
+        .computeIfAbsent(from, any -> allParts(part.parts()))
+        .clear(part.part());
+    return true;
+  }
+
+  private static BitSet allParts(int parts) {
+    BitSet all = new BitSet();
+    all.set(0, parts);
+    return all;
+  }
+
+  private boolean isHeard(int shard, VmId peer) {
+    BitSet missing = heardParts.getOrDefault(shard, Map.of()).get(peer);
+    return missing != null && missing.isEmpty();
+  }
+
+  /** Tells whether a quorum of other members has answered in full. */
+  boolean hasLearned(int shard) {
+    long complete =
+        heardParts.getOrDefault(shard, Map.of()).values().stream().filter(BitSet::isEmpty).count();
+    return complete >= settings.size().quorum();
+  }
+
+  /** Counts a VM that has adopted the attempt's list or a newer one. */
+  void acceptAdopted(VmId from, AdoptedAnswer answer, long nowMillis) {
+    if (!isCurrent(answer.attempt(), nowMillis)) {
+      ignored.count(Reason.STALE_ATTEMPT);
+    } else if (groups.list().find(from).isEmpty()) {
+      ignored.count(Reason.UNKNOWN_SENDER);
+    } else if (answer.version() >= attemptVersion) {
+      confirmed.add(from);
+    }
+  }
+
+  /** Tells whether too few listed VMs are behind to form a quorum of an older list. */
+  boolean isOlderListClosed(long nowMillis) {
+    if (asksUnderList <= ASKS_BEFORE_WAITING || !isCurrent(attempt, nowMillis)) {
+      return false;
+    }
+    long behind =
+        groups.list().vms().stream()
+            .filter(vm -> !vm.id().equals(self) && !confirmed.contains(vm.id()))
+            .count();
+    return behind < settings.size().quorum();
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/group/Shard.java
@@ -0,0 +1,38 @@
+package org.ragworttide.coordination.group;
+
+import org.ragworttide.coordination.hash.Rendezvous;
+
+/**
+ * One of a fixed number of parts into which all names are hashed, each with its group of voters.
+ *
+ * <p>Invariant: a name belongs to the same shard on every daemon. Immutable, safe for use by any
+ * thread.
+ *
+ * @param number from zero to {@link #COUNT} exclusive
+ */
+public record Shard(int number) implements Comparable<Shard> {
+  /** The number of shards of a fleet. */
+  public static final int COUNT = 512;
+
+  /** Checks the number. */
+  public Shard {
+    if (!isNumber(number)) {
+      throw new IllegalArgumentException("no shard " + number);
+    }
+  }
+
+  /** Returns the shard of a name. */
+  public static Shard of(String name) {
+    return new Shard((int) Math.floorMod(Rendezvous.hash(name), (long) COUNT));
+  }
+
+  /** Tells whether the number is one of a shard. */
+  public static boolean isNumber(int number) {
+    return number >= 0 && number < COUNT;
+  }
+
+  @Override
+  public int compareTo(Shard other) {
+    return Integer.compare(number, other.number);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
@@ -0,0 +1,199 @@
+package org.ragworttide.coordination.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.ragworttide.coordination.group.AttemptNumbers;
+import org.ragworttide.coordination.group.GroupSelection;
+import org.ragworttide.coordination.group.IgnoredMessages.Reason;
+import org.ragworttide.coordination.group.Shard;
+import org.ragworttide.coordination.group.Voter;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.LeaseMessage.VoteAnswer;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * Gains, renews and gives back the leases of this VM.
+ *
+ * <p>Invariants: a lease ends on this VM's clock one lease time after its round was begun; after a
+ * shard was given back no earlier round counts for it. Used on the coordination thread only.
+ */
+final class Campaign {
+  private static final String NO_KEY = "";
+
+  private final VmId self;
+  private final TimerService timers;
+  private final LeaseSettings settings;
+  private final AttemptNumbers attempts;
+  private final Voter voter;
+  private final VotePort votes;
+  private final Map<Long, Round> rounds = new TreeMap<>();
+  private final Map<Integer, Long> expiresAtMillis = new TreeMap<>();
+  private final Map<Integer, Long> campaigningSinceMillis = new HashMap<>();
+  private final Map<Integer, Long> campaignNotBeforeMillis = new HashMap<>();
+  private boolean stopped;
+
+  Campaign(
+      VmId self,
+      TimerService timers,
+      LeaseSettings settings,
+      AttemptNumbers attempts,
+      Voter voter,
+      VotePort votes) {
+    this.self = self;
+    this.timers = timers;
+    this.settings = settings;
+    this.attempts = attempts;
+    this.voter = voter;
+    this.votes = votes;
+  }
+
+  void tick() {
+    long now = timers.nowMillis();
+    rounds.values().removeIf(round -> now >= round.sentAtMillis() + settings.leaseMillis());
+    expiresAtMillis.values().removeIf(expires -> now >= expires);
+    if (!stopped && voter.groups().isPresent()) {
+      GroupSelection groups = voter.groups().get();
+      giveUpFailedCampaigns(groups, now);
+      request(groups, due(groups, now), now);
+    }
+  }
+
+  private List<Integer> due(GroupSelection groups, long now) {
+    List<Integer> due = new ArrayList<>();
+    for (int shard = 0; shard < Shard.COUNT; shard++) {
+      int rank = groups.group(new Shard(shard)).indexOf(self);
+      if (rank >= 0 && isDue(shard, rank, now)) {
+        due.add(shard);
+      }
+    }
+    return due;
+  }
+
+  private boolean isDue(int shard, int rank, long now) {
+    Long expires = expiresAtMillis.get(shard);
+    if (expires != null) {
+      return expires - now <= settings.renewBeforeMillis();
+    }
+    Optional<VmId> votedFor = voter.votedFor(new Shard(shard), NO_KEY);
+    if (votedFor.isPresent() && !votedFor.get().equals(self)) {
+      campaignNotBeforeMillis.remove(shard);
+      return false;
+    }
+    long notBefore =
+        campaignNotBeforeMillis.computeIfAbsent(shard, any -> now + backoffMillis(rank));
+    if (now < notBefore || campaigningSinceMillis.containsKey(shard)) {
+      return false;
+    }
+    campaigningSinceMillis.put(shard, now);
+    return true;
+  }
+
+  private long backoffMillis(int rank) {
+    return rank * settings.tickMillis();
+  }
+
+  private void giveUpFailedCampaigns(GroupSelection groups, long now) {
+    List<Integer> failed =
+        campaigningSinceMillis.entrySet().stream()
+            .filter(entry -> now - entry.getValue() >= settings.campaignMillis())
+            .map(Map.Entry::getKey)
+            .toList();
+    for (int shard : failed) {
+      int rank = Math.max(0, groups.group(new Shard(shard)).indexOf(self));
+      campaignNotBeforeMillis.put(shard, now + backoffMillis(1 + 2 * rank));
+    }
+    giveBack(groups, failed);
+  }
+
+  private void request(GroupSelection groups, List<Integer> shards, long now) {
+    if (shards.isEmpty()) {
+      return;
+    }
+    Round round = new Round(groups.list().version(), now, shards);
+    long attempt = attempts.next();
+    rounds.put(attempt, round);
+    votes.request(groups, attempt, shards).forEach(shard -> count(round, shard, self));
+  }
+
+  /** Counts the votes of an answer, or tells why it is ignored. */
+  Optional<Reason> onAnswer(VmId from, VoteAnswer answer) {
+    Round round = rounds.get(answer.attempt());
+    if (round == null) {
+      return Optional.of(Reason.STALE_ATTEMPT);
+    }
+    GroupSelection groups = voter.groups().orElseThrow();
+    if (answer.version() != round.version() || groups.list().version() != round.version()) {
+      return Optional.of(Reason.OTHER_VERSION);
+    }
+    for (int shard : answer.granted()) {
+      if (!Shard.isNumber(shard)) {
+        return Optional.of(Reason.MALFORMED);
+      }
+      if (!groups.group(new Shard(shard)).contains(from)) {
+        return Optional.of(Reason.UNKNOWN_SENDER);
+      }
+      count(round, shard, from);
+    }
+    return Optional.empty();
+  }
+
+  private void count(Round round, int shard, VmId from) {
+    long expires = round.sentAtMillis() + settings.leaseMillis();
+    if (round.count(shard, from) >= settings.size().quorum() && timers.nowMillis() < expires) {
+      expiresAtMillis.merge(shard, expires, Math::max);
+      campaigningSinceMillis.remove(shard);
+      campaignNotBeforeMillis.remove(shard);
+    }
+  }
+
+  /** Gives back the shards whose groups this VM has left. */
+  void onAdopted() {
+    GroupSelection groups = voter.groups().orElseThrow();
+    List<Integer> left =
+        owned().stream()
+            .filter(shard -> !groups.group(shard).contains(self))
+            .map(Shard::number)
+            .toList();
+    rounds.clear();
+    campaigningSinceMillis.clear();
+    giveBack(groups, left);
+  }
+
+  void stop() {
+    stopped = true;
+    List<Integer> asked = new ArrayList<>(campaigningSinceMillis.keySet());
+    asked.addAll(expiresAtMillis.keySet());
+    rounds.clear();
+    voter.groups().ifPresent(groups -> giveBack(groups, asked));
+  }
+
+  private void giveBack(GroupSelection groups, List<Integer> shards) {
+    if (shards.isEmpty()) {
+      return;
+    }
+    for (int shard : shards) {
+      rounds.values().forEach(round -> round.remove(shard));
+      expiresAtMillis.remove(shard);
+      campaigningSinceMillis.remove(shard);
+    }
+    votes.release(groups, attempts.last(), shards);
+  }
+
+  boolean isOwner(int shard) {
+    Long expires = expiresAtMillis.get(shard);
+    return expires != null && timers.nowMillis() < expires;
+  }
+
+  long expiresAtMillis(int shard) {
+    long now = timers.nowMillis();
+    return Math.max(now, expiresAtMillis.getOrDefault(shard, now));
+  }
+
+  List<Shard> owned() {
+    return expiresAtMillis.keySet().stream().filter(this::isOwner).map(Shard::new).toList();
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseManager.java
@@ -0,0 +1,156 @@
+package org.ragworttide.coordination.lease;
+
+import java.util.List;
+import java.util.Optional;
+import org.ragworttide.coordination.group.AttemptNumbers;
+import org.ragworttide.coordination.group.Ballot;
+import org.ragworttide.coordination.group.IgnoredMessages;
+import org.ragworttide.coordination.group.IgnoredMessages.Reason;
+import org.ragworttide.coordination.group.Shard;
+import org.ragworttide.coordination.group.VoteResult;
+import org.ragworttide.coordination.group.Voter;
+import org.ragworttide.coordination.id.Incarnation;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.membership.VmList;
+import org.ragworttide.coordination.message.GroupMessage;
+import org.ragworttide.coordination.message.GroupMessage.Topic;
+import org.ragworttide.coordination.message.LeaseMessage;
+import org.ragworttide.coordination.message.LeaseMessage.Release;
+import org.ragworttide.coordination.message.LeaseMessage.VoteAnswer;
+import org.ragworttide.coordination.message.LeaseMessage.VoteRequest;
+import org.ragworttide.coordination.message.Transport;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * Holds leases on shards by votes of their groups, and votes for others.
+ *
+ * <p>Invariants: at most one VM owns a shard at a time, whatever is lost, delayed, paused or
+ * restarted; nothing is stored. Used on the coordination thread only.
+ */
+public final class LeaseManager implements LeaseCommands, LeaseQueries {
+  private static final String NO_KEY = "";
+
+  private final Transport transport;
+  private final Voter voter;
+  private final Campaign campaign;
+  private final IgnoredMessages ignored = new IgnoredMessages();
+
+  /** Starts without any lease and without any list. */
+  public LeaseManager(
+      VmId self,
+      Incarnation incarnation,
+      TimerService timers,
+      Transport transport,
+      LeaseSettings settings) {
+    this.transport = transport;
+    AttemptNumbers attempts = new AttemptNumbers(incarnation);
+    this.voter = new Voter(self, attempts, timers, transport, settings.voterSettings(), ignored);
+    VotePort votes = new VotePort(self, incarnation, transport, this::isGranted, this::forget);
+    this.campaign = new Campaign(self, timers, settings, attempts, voter, votes);
+    timers.every(settings.tickMillis(), this::tick);
+  }
+
+  private void tick() {
+    voter.tick();
+    campaign.tick();
+  }
+
+  @Override
+  public void adopt(VmList list) {
+    if (voter.adopt(list)) {
+      campaign.onAdopted();
+    }
+  }
+
+  @Override
+  public void onMessage(VmId from, LeaseMessage message) {
+    if (voter.groups().isEmpty() || voter.groups().get().list().find(from).isEmpty()) {
+      ignored.count(Reason.UNKNOWN_SENDER);
+      return;
+    }
+    switch (message) {
+      case VoteRequest request -> onVoteRequest(from, request);
+      case VoteAnswer answer -> campaign.onAnswer(from, answer).ifPresent(ignored::count);
+      case Release release -> forget(from, release);
+    }
+  }
+
+  private void onVoteRequest(VmId from, VoteRequest request) {
+    List<Integer> granted =
+        request.shards().stream().filter(shard -> isGranted(from, request, shard)).toList();
+    long version = voter.groups().orElseThrow().list().version();
+    transport.send(from, new VoteAnswer(version, request.attempt(), granted));
+  }
+
+  private boolean isGranted(VmId from, VoteRequest request, int number) {
+    if (!Shard.isNumber(number)) {
+      ignored.count(Reason.MALFORMED);
+      return false;
+    }
+    Shard shard = new Shard(number);
+    if (!voter.groups().orElseThrow().group(shard).contains(from)) {
+      ignored.count(Reason.UNKNOWN_SENDER);
+      return false;
+    }
+    VoteResult result =
+        voter.vote(
+            new Ballot(
+                shard, NO_KEY, from, request.incarnation(), request.version(), request.attempt()));
+    return result instanceof VoteResult.Granted;
+  }
+
+  private void forget(VmId from, Release release) {
+    for (int number : release.shards()) {
+      if (Shard.isNumber(number)) {
+        voter.release(new Shard(number), NO_KEY, from, release.incarnation(), release.attempt());
+      } else {
+        ignored.count(Reason.MALFORMED);
+      }
+    }
+  }
+
+  @Override
+  public void onGroupMessage(VmId from, GroupMessage message) {
+    if (message.topic() == Topic.LEASE) {
+      voter.onMessage(from, message);
+    }
+  }
+
+  @Override
+  public void stop() {
+    campaign.stop();
+  }
+
+  @Override
+  public boolean isOwner(Shard shard) {
+    return campaign.isOwner(shard.number());
+  }
+
+  @Override
+  public long leaseExpiresAtMillis(Shard shard) {
+    return campaign.expiresAtMillis(shard.number());
+  }
+
+  @Override
+  public Optional<VmId> ownerOf(Shard shard) {
+    Optional<VmId> voted = voter.votedFor(shard, NO_KEY);
+    return voted.isPresent()
+        ? voted
+        : voter.groups().flatMap(groups -> groups.group(shard).stream().findFirst());
+  }
+
+  @Override
+  public List<Shard> owned() {
+    return campaign.owned();
+  }
+
+  /** Tells whether this VM votes for the shard now. */
+  public boolean isInformed(Shard shard) {
+    return voter.isInformed(shard);
+  }
+
+  /** Returns the counts of ignored messages. */
+  public IgnoredMessages ignored() {
+    return ignored;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/message/ClaimAnswer.java
@@ -0,0 +1,43 @@
+package org.ragworttide.coordination.message;
+
+import java.util.Arrays;
+
+/**
+ * The answer that a claimed request got from its upstream, as the embedder encoded it.
+ *
+ * <p>Invariant: at most {@link #MAX_BYTES} long. Immutable, safe for use by any thread.
+ */
+public final class ClaimAnswer {
+  /** The longest answer that is held for a second arrival. */
+  public static final int MAX_BYTES = 32 * 1024;
+
+  private final byte[] content;
+
+  /** Copies the content. */
+  public ClaimAnswer(byte[] content) {
+    if (content.length > MAX_BYTES) {
+      throw new IllegalArgumentException("answer exceeds " + MAX_BYTES + " bytes");
+    }
+    this.content = content.clone();
+  }
+
+  /** Returns a copy of the content. */
+  public byte[] content() {
+    return content.clone();
+  }
+
+  /** Returns the length of the content. */
+  public int length() {
+    return content.length;
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ClaimAnswer answer && Arrays.equals(content, answer.content);
+  }
+
+  @Override
+  public int hashCode() {
+    return Arrays.hashCode(content);
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/lease/LeaseManagerTest.java
@@ -0,0 +1,93 @@
+package org.ragworttide.coordination.lease;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.ragworttide.coordination.group.Shard;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.net.Chaos;
+import org.ragworttide.coordination.net.Fleet;
+import org.ragworttide.coordination.net.Seeds;
+import org.testng.annotations.Test;
+
+/** Brings failures about and checks after every step that a shard has one owner at most. */
+public class LeaseManagerTest {
+  private static final String[] SEVEN = {"a", "b", "c", "d", "e", "f", "g"};
+  private static final long STEP_MILLIS = 10;
+
+  @Test
+  public void everyShardGetsAnOwnerInCalm() {
+    Fleet<LeaseManager> fleet = LeaseFleet.create(1, SEVEN);
+    fleet.run(LeaseFleet.START_MILLIS, STEP_MILLIS, LeaseFleet::checkOwners);
+    assertEquals(LeaseFleet.owned(fleet), Shard.COUNT);
+  }
+
+  @Test
+  public void ownersNeverOverlapUnderRandomFailures() {
+    Seeds.each(
+        seed -> {
+          Fleet<LeaseManager> fleet = LeaseFleet.create(seed, SEVEN);
+          fleet.run(LeaseFleet.START_MILLIS, STEP_MILLIS, LeaseFleet::checkOwners);
+          fleet.network().faults(0.1, 0.1, 60);
+          Chaos chaos = new Chaos(fleet);
+          for (int strike = 0; strike < 60; strike++) {
+            chaos.strike();
+            fleet.run(fleet.random().nextInt(200), STEP_MILLIS, LeaseFleet::checkOwners);
+          }
+          chaos.calm();
+          fleet.run(2 * LeaseFleet.START_MILLIS, STEP_MILLIS, LeaseFleet::checkOwners);
+          assertEquals(LeaseFleet.owned(fleet), Shard.COUNT);
+        });
+  }
+
+  @Test
+  public void ownersOutliveTheChangeOfOneVm() {
+    Seeds.each(
+        seed -> {
+          Fleet<LeaseManager> fleet = LeaseFleet.create(seed, SEVEN);
+          fleet.run(LeaseFleet.START_MILLIS, STEP_MILLIS, LeaseFleet::checkOwners);
+          fleet.publish("b", "c", "d", "e", "f", "g", "h");
+          fleet.adoptAll();
+          fleet.run(3 * 800, STEP_MILLIS, LeaseFleet::checkOwners);
+          assertEquals(LeaseFleet.owned(fleet), Shard.COUNT);
+        });
+  }
+
+  @Test
+  public void restartOfAllVmsKeepsToOneOwnerAndRecovers() {
+    Seeds.each(
+        seed -> {
+          Fleet<LeaseManager> fleet = LeaseFleet.create(seed, SEVEN);
+          fleet.run(LeaseFleet.START_MILLIS, STEP_MILLIS, LeaseFleet::checkOwners);
+          fleet.vms().forEach(vm -> fleet.restart(vm, 1));
+          assertEquals(LeaseFleet.owned(fleet), 0);
+          fleet.run(LeaseFleet.START_MILLIS, STEP_MILLIS, LeaseFleet::checkOwners);
+          assertEquals(LeaseFleet.owned(fleet), Shard.COUNT);
+        });
+  }
+
+  @Test
+  public void minorityCutOffGetsNoLeaseAndTheMajorityTakesOver() {
+    Fleet<LeaseManager> fleet = LeaseFleet.create(5, "a", "b", "c", "d", "e");
+    fleet.run(LeaseFleet.START_MILLIS, STEP_MILLIS, LeaseFleet::checkOwners);
+    for (String inside : new String[] {"a", "b"}) {
+      for (String outside : new String[] {"c", "d", "e"}) {
+        fleet.network().cut(new VmId(inside), new VmId(outside), true);
+        fleet.network().cut(new VmId(outside), new VmId(inside), true);
+      }
+    }
+    fleet.run(6 * 800, STEP_MILLIS, LeaseFleet::checkOwners);
+    assertTrue(fleet.part(new VmId("a")).owned().isEmpty());
+    assertEquals(LeaseFleet.owned(fleet), Shard.COUNT);
+  }
+
+  @Test
+  public void stoppingHandsLeasesOverBeforeTheyExpire() {
+    Fleet<LeaseManager> fleet = LeaseFleet.create(7, SEVEN);
+    fleet.run(LeaseFleet.START_MILLIS, STEP_MILLIS, LeaseFleet::checkOwners);
+    fleet.part(new VmId("a")).stop();
+    assertTrue(fleet.part(new VmId("a")).owned().isEmpty());
+    fleet.run(600, STEP_MILLIS, LeaseFleet::checkOwners);
+    assertEquals(LeaseFleet.owned(fleet), Shard.COUNT);
+  }
+}
