--- a/coordination/src/main/java/org/ragworttide/coordination/claims/ClaimCommands.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/claims/ClaimCommands.java
@@ -20,7 +20,7 @@
   /** Claims a request and tells the decision, at once or later. */
   void claim(RequestKey key, Consumer<ClaimDecision> decision);
 
-  /** Notes the answer of a granted request, for later arrivals; too long ones are not held. */
+  /** Notes the answer of a granted request, for later arrivals. */
   void completed(RequestKey key, ClaimAnswer answer);
 
   /** Notes that a granted request may have run and has no answer to hold. */
--- a/coordination/src/main/java/org/ragworttide/coordination/claims/ClaimTable.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/claims/ClaimTable.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.ragworttide.coordination.claims.LocalClaim.Completed;
-import org.ragworttide.coordination.claims.LocalClaim.Deciding;
 import org.ragworttide.coordination.claims.LocalClaim.MayHaveRun;
 import org.ragworttide.coordination.claims.LocalClaim.Running;
 import org.ragworttide.coordination.id.RequestKey;
@@ -74,9 +73,8 @@
     Iterator<Map.Entry<RequestKey, Entry>> entries = claims.entrySet().iterator();
     while (entries.hasNext()) {
       Map.Entry<RequestKey, Entry> entry = entries.next();
-      boolean inUse =
-          entry.getValue().claim instanceof Running || entry.getValue().claim instanceof Deciding;
-      if (!inUse && nowMillis - entry.getValue().sinceMillis >= keepMillis) {
+      boolean running = entry.getValue().claim instanceof Running;
+      if (!running && nowMillis - entry.getValue().sinceMillis >= keepMillis) {
         dropAnswer(entry.getKey());
         entries.remove();
       }
--- a/coordination/src/main/java/org/ragworttide/coordination/claims/LocalClaim.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/claims/LocalClaim.java
@@ -10,16 +10,14 @@
  */
 sealed interface LocalClaim {
 
-  /** The votes are being collected. */
-  record Deciding() implements LocalClaim {}
-
   /** The claim is granted and may be running. */
   record Running() implements LocalClaim {}
 
   /** The claim has run. */
   record Completed(ClaimAnswer answer) implements LocalClaim {
 
-    Completed {
+    /** Checks that there is an answer. */
+    public Completed {
       Objects.requireNonNull(answer, "answer");
     }
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/group/Learner.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/group/Learner.java
@@ -27,6 +27,8 @@
 final class Learner {
   private static final int MAX_SHARDS_PER_MESSAGE = 128;
   private static final int ASKS_BEFORE_WAITING = 2;
+  private static final int FREQUENT_ASKS = 20;
+  private static final int ASKS_BETWEEN = 16;
 
   private final VmId self;
   private final Transport transport;
@@ -54,10 +56,19 @@
     this.ignored = ignored;
   }
 
-  /** Asks for the shards that are not yet learned. */
-  void ask(GroupSelection adopted, List<Integer> shards, long nowMillis) {
+  /**
+   * Asks for the shards that are not yet learned, after a while only now and then.
+   *
+   * @param adopted the groups under the adopted list
+   * @param shards the numbers of the shards
+   * @param waiting whether all of them already wait for votes to expire
+   */
+  void ask(GroupSelection adopted, List<Integer> shards, boolean waiting, long nowMillis) {
     groups = adopted;
     long version = groups.list().version();
+    if (version == attemptVersion && isSkipped(++asksUnderList)) {
+      return;
+    }
     if (version != attemptVersion || nowMillis - attemptSinceMillis >= settings.windowMillis()) {
       beginAttempt(version, nowMillis);
     }
@@ -70,11 +81,15 @@
       }
     }
     byPeer.forEach(this::send);
-    if (++asksUnderList > ASKS_BEFORE_WAITING) {
+    if (asksUnderList > ASKS_BEFORE_WAITING && !waiting) {
       askAdopted();
     }
   }
 
+  private static boolean isSkipped(int asks) {
+    return asks > FREQUENT_ASKS && asks % ASKS_BETWEEN != 0;
+  }
+
   private void beginAttempt(long version, long nowMillis) {
     asksUnderList = version == attemptVersion ? asksUnderList : 0;
     attempt = attempts.next();
--- a/coordination/src/main/java/org/ragworttide/coordination/group/Voter.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/group/Voter.java
@@ -150,7 +150,9 @@
     }
     List<Integer> missing = missingShards();
     if (!missing.isEmpty()) {
-      learner.ask(groups, missing, now);
+      long version = groups.list().version();
+      boolean waiting = missing.stream().allMatch(shard -> knowledge.isWaiting(shard, version));
+      learner.ask(groups, missing, waiting, now);
     }
   }
 
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/claims/ClaimFailureTest.java
@@ -0,0 +1,90 @@
+package org.ragworttide.coordination.claims;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.net.Chaos;
+import org.ragworttide.coordination.net.Seeds;
+import org.testng.annotations.Test;
+
+/** Brings failures about and checks at every decision that a key runs once within its retention. */
+public class ClaimFailureTest {
+  private static final String[] SEVEN = {"a", "b", "c", "d", "e", "f", "g"};
+
+  @Test
+  public void keysRunOnceUnderRandomFailures() {
+    Seeds.each(
+        seed -> {
+          ClaimFleet claims = ClaimFleet.started(seed, SEVEN);
+          claims.fleet().network().faults(0.1, 0.1, 40);
+          Chaos chaos = new Chaos(claims.fleet());
+          for (int strike = 0; strike < 80; strike++) {
+            chaos.strike();
+            for (int i = 0; i < 3; i++) {
+              arrive(claims, "key-" + (strike / 20) + "-" + claims.fleet().random().nextInt(4));
+            }
+            claims.run(claims.fleet().random().nextInt(150));
+          }
+          chaos.calm();
+          claims.run(2 * ClaimFleet.RETENTION_MILLIS);
+          String vm = claims.fleet().vms().getFirst().value();
+          assertEquals(claims.decide(vm, "fresh"), new ClaimDecision.Granted());
+        });
+  }
+
+  private static void arrive(ClaimFleet claims, String key) {
+    SplittableRandom random = claims.fleet().random();
+    List<VmId> vms = claims.fleet().vms();
+    String vm = vms.get(random.nextInt(vms.size())).value();
+    if (claims.fleet().timers(new VmId(vm)).isPaused()) {
+      return;
+    }
+    List<ClaimDecision> decisions = claims.claim(vm, key);
+    claims.run(random.nextInt(60));
+    boolean here = claims.fleet().vms().contains(new VmId(vm));
+    if (here && decisions.equals(List.of(new ClaimDecision.Granted()))) {
+      switch (random.nextInt(3)) {
+        case 0 -> claims.complete(vm, key);
+        case 1 -> claims.notRun(vm, key);
+        default -> claims.run(1);
+      }
+    }
+  }
+
+  @Test
+  public void simultaneousArrivalsAtAllDaemonsRunOnce() {
+    Seeds.each(
+        seed -> {
+          ClaimFleet claims = ClaimFleet.started(seed, SEVEN);
+          claims.fleet().network().faults(0.05, 0.05, 30);
+          for (int round = 0; round < 10; round++) {
+            List<List<ClaimDecision>> decisions = new ArrayList<>();
+            for (String vm : SEVEN) {
+              decisions.add(claims.claim(vm, "key-" + round));
+            }
+            claims.run(1_500);
+            decisions.forEach(told -> assertEquals(told.size(), 1));
+          }
+        });
+  }
+
+  @Test
+  public void keysRunOnceWhileTheListChangesInMidClaim() {
+    Seeds.each(
+        seed -> {
+          ClaimFleet claims = ClaimFleet.started(seed, SEVEN);
+          claims.fleet().network().faults(0, 0.1, 60);
+          claims.fleet().publish("a", "b", "c", "d", "e", "h", "i");
+          claims.fleet().publish("a", "b", "c", "h", "i", "j", "k");
+          for (int step = 0; step < 24; step++) {
+            arrive(claims, "key-" + claims.fleet().random().nextInt(6));
+            VmId vm = claims.fleet().vms().get(claims.fleet().random().nextInt(7));
+            long next = Math.min(3, claims.fleet().version(vm) + 1);
+            claims.fleet().adopt(vm, next);
+          }
+        });
+  }
+}
