--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
@@ -13,6 +13,7 @@
 import org.ragworttide.coordination.message.PeerMessage;
 import org.ragworttide.coordination.message.Transport;
 import org.ragworttide.coordination.net.FakeNetwork;
+import org.ragworttide.coordination.net.MessageTap;
 import org.ragworttide.coordination.net.VmClock;
 import org.ragworttide.coordination.time.ManualTimerService;
 
@@ -43,16 +44,16 @@
   private final Map<VmId, VmClock> clocks = new HashMap<>();
   private final LimitSettings settings;
   private final SplittableRandom random;
-  private final Consumer<PeerMessage> tap;
+  private final MessageTap tap;
   private Map<OrganisationId, RateLimit> table = Map.of();
 
   /** Creates a fleet of the given number of VMs. */
   public LimitFleet(long seed, int size, LimitSettings settings) {
-    this(seed, size, settings, message -> {});
+    this(seed, size, settings, (from, to, message) -> {});
   }
 
   /** Creates a fleet whose messages are shown to a tap. */
-  public LimitFleet(long seed, int size, LimitSettings settings, Consumer<PeerMessage> tap) {
+  public LimitFleet(long seed, int size, LimitSettings settings, MessageTap tap) {
     this.random = new SplittableRandom(seed);
     this.network = new FakeNetwork(time, random.nextLong());
     this.settings = settings;
@@ -75,7 +76,7 @@
         network.connect(vm, clock.guard((from, message) -> take(vm, from, message)));
     Transport tapped =
         (to, message) -> {
-          tap.accept(message);
+          tap.sent(vm, to, message);
           transport.send(to, message);
         };
     clocks.put(vm, clock);
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitsTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitsTest.java
@@ -28,7 +28,7 @@
   public void createFleet() {
     messages.clear();
     decisions.clear();
-    fleet = new LimitFleet(1, 3, LimitSettings.of(3), messages::add);
+    fleet = new LimitFleet(1, 3, LimitSettings.of(3), this::note);
     fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
   }
 
@@ -181,7 +181,7 @@
 
   @Test
   public void permitsEndWithTheOwnership() {
-    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), messages::add);
+    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), this::note);
     fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
     fleet.own(vm(0), 0, 20_000);
     fleet.time.advance(19_700);
@@ -196,7 +196,7 @@
 
   @Test
   public void tokensOfAnEarlierOwnershipAreGone() {
-    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), messages::add);
+    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), this::note);
     fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
     fleet.own(vm(0), 0, 20_000);
     fleet.own(vm(1), 20_000, 30_000);
@@ -240,13 +240,17 @@
     assertEquals(refused.reason(), RefusalReason.UNKNOWN_ORGANISATION);
   }
 
+  private void note(VmId from, VmId to, PeerMessage message) {
+    messages.add(message);
+  }
+
   private void ownedAndFull() {
     fleet.own(vm(0), 0, FOREVER_MILLIS);
     fleet.time.advance(20_000);
   }
 
   private void ownedWithoutReserves() {
-    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), messages::add);
+    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), this::note);
     fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
     ownedAndFull();
   }
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/versions/VersionsTest.java
@@ -0,0 +1,220 @@
+package org.ragworttide.coordination.versions;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.VersionMessage;
+import org.testng.annotations.Test;
+
+/** Brings about failures of the spread of versions and checks that no version goes back. */
+public class VersionsTest {
+  private static final long SEED = Long.getLong("seed", 20261204);
+  private static final int SEEDS = Integer.getInteger("seeds", 40);
+  private static final int SPREAD_BOUND_MILLIS = 11_000;
+  private static final int DOCUMENT_BYTES = 4_000;
+  private static final DocumentDigest FORGED = DocumentDigest.of(new byte[] {1});
+
+  @Test
+  public void newVersionIsEverywhereWithinTheBoundUnderLoss() {
+    for (long seed = SEED; seed < SEED + Math.max(1, SEEDS / 10); seed++) {
+      SpreadFleet fleet = spread(seed, 350, 1);
+      fleet.network.faults(0.05, 0.01, 20);
+      publish(fleet, 2);
+      fleet.time.advance(SPREAD_BOUND_MILLIS);
+      assertEquals(fleet.lowestVersion(), 2, "seed " + seed);
+    }
+  }
+
+  @Test
+  public void onlyFewVmsHoldTheWatch() {
+    SpreadFleet fleet = spread(SEED, 60, 1);
+    long readers = fleet.vms.stream().filter(vm -> fleet.at(vm).isReader()).count();
+    assertEquals(readers, 3L * ReaderOrder.READERS_A_ZONE);
+  }
+
+  @Test
+  public void nextInOrderReadsWhenReadersAreDown() {
+    SpreadFleet fleet = spread(SEED, 12, 1);
+    List<VmId> readers = readers(fleet);
+    readers.forEach(fleet::stop);
+    fleet.time.advance(60_000);
+    publish(fleet, 2);
+    fleet.time.advance(SPREAD_BOUND_MILLIS);
+    assertEquals(fleet.lowestVersion(), 2);
+  }
+
+  @Test
+  public void anotherVmReadsInPlaceOfReadersThatCannot() {
+    SpreadFleet fleet = spread(SEED, 12, 1);
+    final List<VmId> readers = readers(fleet);
+    fleet.platformDown(true);
+    fleet.readersRead();
+    fleet.time.advance(10_000);
+    fleet.platformDown(false);
+    fleet.publish(2, SpreadFleet.document(2, DOCUMENT_BYTES));
+    readers(fleet).stream().filter(vm -> !readers.contains(vm)).forEach(fleet::read);
+    fleet.time.advance(SPREAD_BOUND_MILLIS);
+    assertEquals(fleet.lowestVersion(), 2);
+  }
+
+  @Test
+  public void staleReaderNeverTakesItsPeersBack() {
+    SpreadFleet fleet = spread(SEED, 9, 5);
+    VmId stale = readers(fleet).getFirst();
+    OfferOutcome outcome = fleet.at(stale).offer(4, SpreadFleet.document(4, DOCUMENT_BYTES));
+    fleet.time.advance(5_000);
+    assertEquals(outcome, new OfferOutcome.Stale(5));
+    assertEquals(fleet.lowestVersion(), 5);
+  }
+
+  @Test
+  public void vmThatStartsBesideStaleReaderIsNotReadyWithTheOldVersion() {
+    for (long seed = SEED; seed < SEED + SEEDS; seed++) {
+      SpreadFleet fleet = spread(seed, 9, 5);
+      fleet.network.faults(0.05, 0.05, 50);
+      VmId fresh = fleet.vms.get((int) (seed % 9));
+      fleet.start(fresh);
+      fleet.at(fresh).offer(4, SpreadFleet.document(4, DOCUMENT_BYTES));
+      fleet.at(fresh).start();
+      String message = "seed " + seed;
+      fleet.advance(
+          8_000,
+          10,
+          vm -> assertTrue(!fleet.at(vm).isReady() || fleet.at(vm).version() == 5, message));
+      assertTrue(fleet.at(fresh).isReady(), message);
+    }
+  }
+
+  @Test
+  public void vmAloneIsReadyAfterTheBoundedWait() {
+    SpreadFleet fleet = new SpreadFleet(SEED, 6, (from, to, message) -> {});
+    fleet.vms.stream().skip(1).forEach(fleet::stop);
+    Versions alone = fleet.at(fleet.vms.getFirst());
+    alone.offer(1, SpreadFleet.document(1, DOCUMENT_BYTES));
+    alone.start();
+    fleet.time.advance(1_000);
+    assertFalse(alone.isReady());
+    fleet.time.advance(Readiness.MAX_WAIT_MILLIS);
+    assertTrue(alone.isReady());
+  }
+
+  @Test
+  public void versionOnOneSideOfPartitionReachesTheOtherAfterIt() {
+    for (long seed = SEED; seed < SEED + SEEDS; seed++) {
+      SpreadFleet fleet = spread(seed, 10, 1);
+      List<VmId> one = fleet.vms.subList(0, 3);
+      List<VmId> other = fleet.vms.subList(3, 10);
+      fleet.split(one, other, true);
+      fleet.publish(2, SpreadFleet.document(2, DOCUMENT_BYTES));
+      fleet.read(one.getFirst());
+      fleet.time.advance(20_000);
+      assertEquals(fleet.lowestVersion(), 1, "seed " + seed);
+      fleet.split(one, other, false);
+      fleet.time.advance(SPREAD_BOUND_MILLIS);
+      assertEquals(fleet.lowestVersion(), 2, "seed " + seed);
+    }
+  }
+
+  @Test
+  public void forgedVersionIsIgnoredAndDoesNotHoldUpTrueOnes() {
+    for (long seed = SEED; seed < SEED + SEEDS; seed++) {
+      SpreadFleet fleet = spread(seed, 7, 1);
+      SplittableRandom random = new SplittableRandom(seed);
+      for (long version = 2; version < 6; version++) {
+        for (VmId vm : fleet.vms) {
+          VmId liar = fleet.vms.get(random.nextInt(7));
+          long forged = version + random.nextInt(1_000_000);
+          fleet.at(vm).receive(liar, new VersionMessage.Announce(forged, FORGED, 9, List.of()));
+          byte[] junk = new byte[1 + random.nextInt(9)];
+          fleet.at(vm).receive(liar, new VersionMessage.Chunk(forged, 0, junk));
+        }
+        publish(fleet, version);
+        fleet.time.advance(SPREAD_BOUND_MILLIS);
+        assertEquals(fleet.lowestVersion(), version, "seed " + seed);
+      }
+    }
+  }
+
+  @Test
+  public void otherDocumentOfTheSameVersionIsCountedAndIgnored() {
+    SpreadFleet fleet = spread(SEED, 3, 5);
+    Versions versions = fleet.at(fleet.vms.getFirst());
+    byte[] before = versions.document();
+    versions.receive(fleet.vms.get(1), new VersionMessage.Announce(5, FORGED, 9, List.of()));
+    assertEquals(versions.counters().conflicts(), 1);
+    assertEquals(versions.document(), before);
+  }
+
+  @Test
+  public void deltaWithWrongDigestIsRejected() {
+    SpreadFleet fleet = spread(SEED, 3, 1);
+    Versions versions = fleet.at(fleet.vms.getFirst());
+    byte[] base = SpreadFleet.document(1, DOCUMENT_BYTES);
+    DocumentDelta.Piece all = new DocumentDelta.Piece.Copy(0, base.length);
+    DocumentDelta forged = new DocumentDelta(1, 2, FORGED, base.length, List.of(all));
+    versions.receive(
+        fleet.vms.get(1), new VersionMessage.Announce(2, FORGED, base.length, List.of(forged)));
+    assertEquals(versions.version(), 1);
+    assertEquals(versions.counters().rejected(), 1);
+  }
+
+  @Test
+  public void manyVersionsNeverGoBackUnderAllFailures() {
+    for (long seed = SEED; seed < SEED + SEEDS; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      SpreadFleet fleet = spread(seed, 9, 1);
+      fleet.network.faults(0.2, 0.2, 2_000);
+      for (long version = 2; version < 30; version++) {
+        fleet.publish(version, SpreadFleet.document(version, DOCUMENT_BYTES));
+        List<VmId> readers = new ArrayList<>(readers(fleet));
+        fleet.read(readers.get(random.nextInt(readers.size())));
+        VmId victim = fleet.vms.get(random.nextInt(9));
+        fleet.start(victim);
+        fleet.at(victim).offer(1, SpreadFleet.document(1, DOCUMENT_BYTES));
+        fleet.at(victim).start();
+        fleet.time.advance(random.nextInt(3_000));
+      }
+      fleet.network.faults(0, 0, 3);
+      fleet.time.advance(30_000);
+      assertEquals(fleet.lowestVersion(), 29, "seed " + seed);
+    }
+  }
+
+  @Test
+  public void documentSpreadsInPartsWhenThePlatformIsDown() {
+    SpreadFleet fleet = spread(SEED, 6, 1);
+    fleet.publish(2, SpreadFleet.document(2, DOCUMENT_BYTES));
+    fleet.read(fleet.vms.getFirst());
+    fleet.platformDown(true);
+    fleet.stop(fleet.vms.get(1));
+    fleet.start(fleet.vms.get(1));
+    fleet.time.advance(20_000);
+    assertEquals(fleet.at(fleet.vms.get(1)).version(), 2);
+  }
+
+  private static SpreadFleet spread(long seed, int size, long version) {
+    SpreadFleet fleet = new SpreadFleet(seed, size, (from, to, message) -> {});
+    byte[] document = SpreadFleet.document(version, DOCUMENT_BYTES);
+    fleet.publish(version, document);
+    for (VmId vm : fleet.vms) {
+      fleet.at(vm).offer(version, document);
+      fleet.at(vm).start();
+    }
+    fleet.time.advance(3_500);
+    return fleet;
+  }
+
+  private static void publish(SpreadFleet fleet, long version) {
+    fleet.publish(version, SpreadFleet.document(version, DOCUMENT_BYTES));
+    fleet.readersRead();
+  }
+
+  private static List<VmId> readers(SpreadFleet fleet) {
+    return fleet.running().stream().filter(vm -> fleet.at(vm).isReader()).toList();
+  }
+}
