--- a/coordination/src/main/java/org/ragworttide/coordination/quarantine/DeathRecords.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/quarantine/DeathRecords.java
@@ -18,6 +18,7 @@
   static final int MAX_DEATHS = 512;
   static final int MAX_FINGERPRINTS_A_DEATH = 64;
   static final int RETENTION_MILLIS = 600_000;
+  static final int SHARING_MILLIS = 60_000;
 
   private final LinkedHashMap<Long, Death> deaths = new LinkedHashMap<>();
   private final Map<Fingerprint, Integer> counts = new HashMap<>();
@@ -59,22 +60,25 @@
     return counts.size();
   }
 
-  /** Returns a hash that is the same for the same records in any order. */
+  /** Returns a hash that is the same for the same deaths of the sharing time in any order. */
   long hash(long nowMillis) {
     forgetOld(nowMillis);
     long hash = 0;
     for (Map.Entry<Long, Death> death : deaths.entrySet()) {
-      for (Fingerprint fingerprint : death.getValue().fingerprints) {
-        hash += mix(death.getKey() ^ fingerprint.high()) ^ fingerprint.low();
+      if (death.getValue().isYoungerThan(SHARING_MILLIS, nowMillis)) {
+        for (Fingerprint fingerprint : death.getValue().fingerprints) {
+          hash += mix(death.getKey() ^ fingerprint.high()) ^ fingerprint.low();
+        }
       }
     }
     return hash;
   }
 
-  /** Returns the records of the latest deaths. */
-  Map<Long, Death> latest(int max) {
+  /** Returns the latest deaths that are younger than the given age. */
+  Map<Long, Death> latest(int max, long ageMillis, long nowMillis) {
     Map<Long, Death> latest = new LinkedHashMap<>();
     deaths.sequencedEntrySet().reversed().stream()
+        .filter(entry -> entry.getValue().isYoungerThan(ageMillis, nowMillis))
         .limit(max)
         .forEach(entry -> latest.put(entry.getKey(), entry.getValue()));
     return latest;
@@ -101,5 +105,10 @@
    * @param diedMillis when it died, by this VM's clock
    * @param fingerprints what ran on it
    */
-  record Death(long diedMillis, List<Fingerprint> fingerprints) {}
+  record Death(long diedMillis, List<Fingerprint> fingerprints) {
+
+    boolean isYoungerThan(long ageMillis, long nowMillis) {
+      return nowMillis - diedMillis < ageMillis;
+    }
+  }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/quarantine/Quarantine.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/quarantine/Quarantine.java
@@ -40,6 +40,7 @@
   static final int SUMMARY_PERIOD_MILLIS = 2_000;
   static final int FANOUT = 4;
   private static final int MAX_REPEATED_DEATHS = 16;
+  private static final int FRESH_AGE_MILLIS = DeathRecords.RETENTION_MILLIS / 2;
 
   private final VmId self;
   private final TimerService time;
@@ -52,6 +53,7 @@
   private final Map<Long, Asked> asked = new HashMap<>();
   private final Map<Long, VmId> permitted = new HashMap<>();
   private long nextRequestId;
+  private boolean started;
 
   /**
    * Creates the state of one VM.
@@ -204,28 +206,28 @@
   }
 
   private void summarise() {
-    if (records.size() > 0) {
-      Summary summary = new Summary(records.hash(time.nowMillis()));
-      randomPeer().ifPresent(peer -> transport.send(peer, summary));
+    long hash = records.hash(time.nowMillis());
+    if (hash != 0 || !started) {
+      started = true;
+      randomPeer().ifPresent(peer -> transport.send(peer, new Summary(hash)));
     }
   }
 
+  /** Tells a peer with other records the recent deaths, and one without any all it needs. */
   private void compare(VmId from, Summary summary) {
     long now = time.nowMillis();
-    long own = records.hash(now);
-    if (own == summary.hash()) {
+    if (records.hash(now) == summary.hash() && summary.hash() != 0) {
       return;
     }
+    long age = summary.hash() == 0 ? FRESH_AGE_MILLIS : DeathRecords.SHARING_MILLIS;
     records
-        .latest(MAX_REPEATED_DEATHS)
+        .latest(MAX_REPEATED_DEATHS, age, now)
         .forEach(
             (id, death) -> {
-              int age = (int) Math.max(0, now - death.diedMillis());
-              transport.send(from, new Died(id, new ArrayList<>(death.fingerprints()), age));
+              int deathAge = (int) Math.max(0, now - death.diedMillis());
+              List<Fingerprint> copy = new ArrayList<>(death.fingerprints());
+              transport.send(from, new Died(id, copy, deathAge));
             });
-    if (summary.hash() != 0 && records.size() == 0) {
-      transport.send(from, new Summary(0));
-    }
   }
 
   private Optional<VmId> randomPeer() {
--- a/coordination/src/main/java/org/ragworttide/coordination/versions/Readiness.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/versions/Readiness.java
@@ -1,6 +1,7 @@
 package org.ragworttide.coordination.versions;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.ragworttide.coordination.id.VmId;
 
@@ -24,8 +25,8 @@
     startMillis = nowMillis;
   }
 
-  Set<VmId> unanswered() {
-    return Set.copyOf(unanswered);
+  List<VmId> unanswered() {
+    return unanswered.stream().sorted().toList();
   }
 
   /** Notes that a peer has told its version. */
--- a/coordination/src/main/java/org/ragworttide/coordination/versions/Versions.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/versions/Versions.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -263,7 +264,7 @@
   }
 
   private Set<VmId> pick(List<VmId> from, int count) {
-    Set<VmId> picked = new HashSet<>();
+    Set<VmId> picked = new LinkedHashSet<>();
     for (int i = 0; i < count && !from.isEmpty(); i++) {
       picked.add(from.get(random.nextInt(from.size())));
     }
--- a/coordination/src/test/java/org/ragworttide/coordination/versions/VersionsTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/versions/VersionsTest.java
@@ -180,6 +180,7 @@
         fleet.time.advance(random.nextInt(3_000));
       }
       fleet.network.faults(0, 0, 3);
+      fleet.readersRead();
       fleet.time.advance(30_000);
       assertEquals(fleet.lowestVersion(), 29, "seed " + seed);
     }
