--- /dev/null
+++ b/bench/src/main/java/org/ragworttide/bench/coordination/TrafficMeasures.java
@@ -0,0 +1,133 @@
+package org.ragworttide.bench.coordination;
+
+import java.lang.management.ManagementFactory;
+import java.lang.ref.Reference;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.ragworttide.bench.Report;
+import org.ragworttide.coordination.limits.LimitSettings;
+import org.ragworttide.coordination.versions.SpreadFleet;
+
+/**
+ * Measures bytes, processor time and heap of a node by the size of the fleet; single-threaded.
+ *
+ * <p>Invariant: each node sees the same requests a second at every size, as at the target; the
+ * processor time includes the load generator and the simulated network, so it is an upper bound.
+ */
+final class TrafficMeasures {
+  private static final int[] FLEET_SIZES = {7, 50, 150, 350};
+  private static final int ORGANISATIONS = 1_100;
+  private static final double REQUESTS_PER_SECOND_A_NODE = 3_000.0 / 350;
+  private static final int DURATION_MILLIS = 20_000;
+  private static final int WARM_UP_MILLIS = 15_000;
+  private static final double MAX_BYTES_PER_SECOND = 4_096;
+  private static final double MAX_CORE_SHARE = 0.032;
+  private static final double MAX_HEAP_BYTES = 128 * 1024 * 1024;
+  private static final int DOCUMENT_BYTES = 300_000;
+  private static final int CHANGE_PERIOD_MILLIS = 51_000;
+
+  private final Report report;
+  private final List<Long> seeds;
+  private final Map<Integer, Double> bytesBySize = new TreeMap<>();
+
+  TrafficMeasures(Report report, List<Long> seeds) {
+    this.report = report;
+    this.seeds = seeds;
+  }
+
+  void run() {
+    for (int vms : FLEET_SIZES) {
+      measure(vms);
+    }
+    int first = FLEET_SIZES[0];
+    int last = FLEET_SIZES[FLEET_SIZES.length - 1];
+    double slope = (bytesBySize.get(last) - bytesBySize.get(first)) / (last - first);
+    report.plain("bytesPerSecondSlopePerNode", Map.of(), List.of(slope));
+  }
+
+  private void measure(int vms) {
+    List<Double> meanSent = new ArrayList<>();
+    List<Double> worst = new ArrayList<>();
+    List<Double> cores = new ArrayList<>();
+    List<Double> heaps = new ArrayList<>();
+    for (long seed : seeds) {
+      Sample limits = limits(vms, seed);
+      Sample views = views(vms, seed);
+      meanSent.add(limits.meanBytes + views.meanBytes);
+      worst.add(limits.worstBytes + views.worstBytes);
+      cores.add(limits.coreShare + views.coreShare);
+      heaps.add(limits.heapBytes + views.heapBytes);
+      report.plain("limitBytesPerSecond", Map.of("vms", vms), List.of(limits.meanBytes));
+      report.plain("spreadBytesPerSecond", Map.of("vms", vms), List.of(views.meanBytes));
+    }
+    Map<String, Object> labels = Map.of("vms", vms);
+    report.plain("bytesSentPerSecondMean", labels, meanSent);
+    report.atMost("bytesPerSecondWorstNode", labels, worst, MAX_BYTES_PER_SECOND);
+    report.atMost("coreShareOfNode", labels, cores, MAX_CORE_SHARE);
+    report.atMost("heapBytesOfNode", labels, heaps, MAX_HEAP_BYTES);
+    bytesBySize.put(vms, Report.median(meanSent));
+  }
+
+  private static Sample limits(int vms, long seed) {
+    TrafficMeter meter = new TrafficMeter();
+    TrialSize size =
+        TrialSize.of(vms, ORGANISATIONS, REQUESTS_PER_SECOND_A_NODE * vms, DURATION_MILLIS);
+    final long heapBefore = usedHeap();
+    double share = LimitSettings.DEFAULT_RESERVE_SHARE;
+    LimitTrial trial = new LimitTrial(size, LoadPattern.EVEN, share, seed, meter);
+    final long cpuBefore = cpuNanos();
+    trial.run();
+    final long cpu = cpuNanos() - cpuBefore;
+    final double heap = (double) (usedHeap() - heapBefore) / vms;
+    long simulated = WARM_UP_MILLIS + DURATION_MILLIS;
+    return sample(meter, vms, DURATION_MILLIS, simulated, cpu, heap, trial);
+  }
+
+  private static Sample views(int vms, long seed) {
+    TrafficMeter meter = new TrafficMeter();
+    final long heapBefore = usedHeap();
+    SpreadFleet fleet = new SpreadFleet(seed, vms, meter);
+    byte[] document = SpreadFleet.document(1, DOCUMENT_BYTES);
+    fleet.publish(1, document);
+    fleet.vms.forEach(fleet::read);
+    fleet.vms.forEach(vm -> fleet.at(vm).start());
+    fleet.time.advance(WARM_UP_MILLIS);
+    meter.reset();
+    final long cpuBefore = cpuNanos();
+    fleet.publish(2, SpreadFleet.document(2, DOCUMENT_BYTES));
+    fleet.readersRead();
+    fleet.time.advance(CHANGE_PERIOD_MILLIS);
+    final long cpu = cpuNanos() - cpuBefore;
+    final double heap = (double) (usedHeap() - heapBefore) / vms;
+    return sample(meter, vms, CHANGE_PERIOD_MILLIS, CHANGE_PERIOD_MILLIS, cpu, heap, fleet);
+  }
+
+  private static Sample sample(
+      TrafficMeter meter,
+      int vms,
+      long meteredMillis,
+      long ranMillis,
+      long cpu,
+      double heap,
+      Object kept) {
+    Reference.reachabilityFence(kept);
+    double seconds = meteredMillis / 1_000.0;
+    double worst = Math.max(meter.maxSent(), meter.maxReceived()) / seconds;
+    double core = cpu / 1e6 / ranMillis / vms;
+    return new Sample(meter.meanSent(vms) / seconds, worst, core, heap);
+  }
+
+  private static long cpuNanos() {
+    return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+  }
+
+  private static long usedHeap() {
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+
+  private record Sample(double meanBytes, double worstBytes, double coreShare, double heapBytes) {}
+}
