Queue fairly between organisations and keep retries within a budget

Cause: a surging organisation must leave the others' service as it was, a late answer is worth less than an early refusal, and retries must not multiply an outage.

The queue is start-time fair between organisations; priority orders only an organisation's own work. When full it refuses the organisation with the most waiting. A request is refused as not run when the wait for its organisation at the measured rate would leave too little of its window. Retries take from a share of first attempts. A breaker lets one probe at a time through, within a budget a second over all upstreams; requests from before it opened neither count as probes nor lengthen its pause. A request that is not idempotent is not run again once a byte may have been sent.

--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/queueing/FairQueue.java
@@ -0,0 +1,184 @@
+package org.ragworttide.coordination.queueing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Predicate;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * Holds the requests for one model and sends them on by start-time fair queueing between
+ * organisations.
+ *
+ * <p>Invariants: it never holds more than its bound; a full queue refuses the organisation with the
+ * most waiting requests; a request whose answer cannot be whole in time is refused, never sent; a
+ * refused request has not run. Confined to the coordination thread.
+ *
+ * @param <T> the type of what the embedder attaches to a request
+ */
+public final class FairQueue<T> {
+  private final TimerService time;
+  private final QueueSettings settings;
+  private final BiConsumer<Entry<T>, QueueRefusal> refused;
+  private final Map<OrganisationId, OrganisationQueue<T>> organisations = new LinkedHashMap<>();
+  private final DispatchRate rate;
+  private double virtualTime;
+  private int size;
+
+  /**
+   * Creates an empty queue.
+   *
+   * @param time the time
+   * @param settings the bounds
+   * @param refused is told of each request that is refused after it was queued
+   */
+  public FairQueue(
+      TimerService time, QueueSettings settings, BiConsumer<Entry<T>, QueueRefusal> refused) {
+    this.time = time;
+    this.settings = settings;
+    this.refused = refused;
+    this.rate = new DispatchRate(settings.rateWindowMillis());
+  }
+
+  /** Queues a request, or says at once why it is refused. */
+  public Offer<T> offer(Work work, T attachment) {
+    long wait = estimatedWaitMillis(work.organisation());
+    if (!work.canFinish(time.nowMillis() + wait)) {
+      return new Offer.Refused<>(QueueRefusal.TOO_LATE, wait);
+    }
+    if (size >= settings.maxEntries() && !makeRoom(work.organisation())) {
+      return new Offer.Refused<>(QueueRefusal.FULL, wait);
+    }
+    OrganisationQueue<T> queue =
+        organisations.computeIfAbsent(work.organisation(), id -> new OrganisationQueue<>());
+    if (queue.size() == 0) {
+      queue.catchUp(virtualTime);
+    }
+    Entry<T> entry = new Entry<>(work, attachment);
+    queue.add(entry);
+    size++;
+    return new Offer.Queued<>(entry);
+  }
+
+  /**
+   * Sends requests on in fair order until none waits or one cannot be taken.
+   *
+   * @param taker takes a request and tells whether it was taken
+   * @return how many were taken
+   */
+  public int dispatch(Predicate<Entry<T>> taker) {
+    int taken = 0;
+    while (true) {
+      OrganisationQueue<T> queue = next();
+      if (queue == null) {
+        rate.idle();
+        return taken;
+      }
+      Entry<T> entry = queue.first();
+      if (!entry.work().canFinish(time.nowMillis())) {
+        refuse(queue, entry, QueueRefusal.TOO_LATE);
+      } else if (taker.test(entry)) {
+        leave(queue, entry);
+        virtualTime = queue.virtualStart();
+        queue.charge(entry.work().cost());
+        rate.dispatched(time.nowMillis());
+        taken++;
+      } else {
+        rate.held(time.nowMillis());
+        return taken;
+      }
+    }
+  }
+
+  /** Takes a request out whose caller has gone. */
+  public void cancel(Entry<T> entry) {
+    OrganisationQueue<T> queue = organisations.get(entry.work().organisation());
+    if (queue != null && entry.isWaiting()) {
+      leave(queue, entry);
+    }
+  }
+
+  /** Refuses what can no longer finish in time, and forgets idle organisations. */
+  public void expire() {
+    long now = time.nowMillis();
+    List<Entry<T>> late = new ArrayList<>();
+    for (OrganisationQueue<T> queue : organisations.values()) {
+      queue.forEach(
+          entry -> {
+            if (!entry.work().canFinish(now)) {
+              late.add(entry);
+            }
+          });
+    }
+    late.forEach(
+        entry ->
+            refuse(organisations.get(entry.work().organisation()), entry, QueueRefusal.TOO_LATE));
+    organisations.values().forEach(OrganisationQueue::compact);
+    organisations.values().removeIf(q -> q.size() == 0 && q.virtualStart() <= virtualTime);
+  }
+
+  /** Returns how many requests wait. */
+  public int size() {
+    return size;
+  }
+
+  /** Returns how many requests of an organisation wait. */
+  public int size(OrganisationId organisation) {
+    return Optional.ofNullable(organisations.get(organisation))
+        .map(OrganisationQueue::size)
+        .orElse(0);
+  }
+
+  /** Returns how long a further request of the organisation would wait at the current rate. */
+  public long estimatedWaitMillis(OrganisationId organisation) {
+    if (size == 0) {
+      return 0;
+    }
+    int own = size(organisation);
+    long ahead = 0;
+    for (OrganisationQueue<T> queue : organisations.values()) {
+      ahead += Math.min(queue.size(), own + 1);
+    }
+    return rate.millisFor(ahead);
+  }
+
+  private OrganisationQueue<T> next() {
+    OrganisationQueue<T> best = null;
+    for (OrganisationQueue<T> queue : organisations.values()) {
+      boolean earlier = best == null || queue.virtualStart() < best.virtualStart();
+      if (queue.size() > 0 && earlier) {
+        best = queue;
+      }
+    }
+    return best;
+  }
+
+  /** Refuses a request of the organisation with the most, unless that is the given one. */
+  private boolean makeRoom(OrganisationId newcomer) {
+    OrganisationQueue<T> longest = null;
+    for (OrganisationQueue<T> queue : organisations.values()) {
+      if (longest == null || queue.size() > longest.size()) {
+        longest = queue;
+      }
+    }
+    if (longest == null || longest.size() <= size(newcomer) + 1) {
+      return false;
+    }
+    refuse(longest, longest.last(), QueueRefusal.FULL);
+    return true;
+  }
+
+  private void refuse(OrganisationQueue<T> queue, Entry<T> entry, QueueRefusal reason) {
+    leave(queue, entry);
+    refused.accept(entry, reason);
+  }
+
+  private void leave(OrganisationQueue<T> queue, Entry<T> entry) {
+    queue.leave(entry);
+    size--;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/retry/RetryBudget.java
@@ -0,0 +1,42 @@
+package org.ragworttide.coordination.retry;
+
+/**
+ * Allows retries as a share of first attempts, so that they cannot multiply an outage.
+ *
+ * <p>Invariant: over any stretch of time, retries are at most the share of the first attempts in it
+ * plus the reserve. Confined to the coordination thread.
+ */
+public final class RetryBudget {
+  private final double share;
+  private final double reserve;
+  private double tokens;
+
+  /**
+   * Creates a budget with a full reserve.
+   *
+   * @param share retries for one first attempt, in the long run
+   * @param reserve retries that may be saved up, at least one
+   */
+  public RetryBudget(double share, int reserve) {
+    if (!(share >= 0 && share <= 1) || reserve < 1) {
+      throw new IllegalArgumentException("share must be in [0, 1], reserve at least one");
+    }
+    this.share = share;
+    this.reserve = reserve;
+    this.tokens = reserve;
+  }
+
+  /** Notes a first attempt. */
+  public void attempted() {
+    tokens = Math.min(reserve, tokens + share);
+  }
+
+  /** Takes a retry out of the budget, if one is left. */
+  public boolean tryRetry() {
+    if (tokens < 1) {
+      return false;
+    }
+    tokens -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/retry/RetryTest.java
@@ -0,0 +1,156 @@
+package org.ragworttide.coordination.retry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.routing.UpstreamGate;
+import org.ragworttide.coordination.time.ManualTimerService;
+import org.testng.annotations.Test;
+
+/** Tests retries, resumption and circuit breakers. */
+public class RetryTest {
+  private static final UpstreamId ENGINE = new UpstreamId("engine");
+  private static final UpstreamId OTHER = new UpstreamId("other");
+
+  private static RetryPolicy policy() {
+    return new RetryPolicy(new RetryBudget(0.1, 10), 3);
+  }
+
+  private static Attempt attempt(boolean idempotent, long sent, long relayed, boolean resumable) {
+    return new Attempt(idempotent, sent, relayed, resumable, 1, 0, 1_000);
+  }
+
+  @Test
+  public void retriesStayWithinTheirShareOfTraffic() {
+    RetryBudget budget = new RetryBudget(0.1, 10);
+    int retries = 0;
+    for (int i = 0; i < 1_000; i++) {
+      budget.attempted();
+      retries += budget.tryRetry() ? 1 : 0;
+    }
+    assertTrue(retries >= 100 && retries <= 110, "retries " + retries);
+  }
+
+  @Test
+  public void requestThatIsNotIdempotentRunsAgainOnlyIfNothingWasSent() {
+    assertEquals(policy().decide(attempt(false, 0, 0, false)), new NextStep.Retry());
+    assertEquals(policy().decide(attempt(false, 1, 0, false)), new NextStep.EndMayHaveRun());
+    assertEquals(policy().decide(attempt(false, 1, 5, true)), new NextStep.EndMayHaveRun());
+  }
+
+  @Test
+  public void begunAnswerIsResumedOrEndedNeverBegunAgain() {
+    assertEquals(policy().decide(attempt(true, 9, 5, true)), new NextStep.Resume(5));
+    assertEquals(policy().decide(attempt(true, 9, 5, false)), new NextStep.EndMayHaveRun());
+  }
+
+  @Test
+  public void lateAndRepeatedFailuresEnd() {
+    Attempt late = new Attempt(true, 9, 0, false, 1, 1_000, 1_000);
+    assertEquals(policy().decide(late), new NextStep.EndMayHaveRun());
+    Attempt third = new Attempt(true, 0, 0, false, 3, 0, 1_000);
+    assertEquals(policy().decide(third), new NextStep.EndNotRun());
+  }
+
+  @Test
+  public void spentBudgetEndsRequests() {
+    RetryPolicy policy = new RetryPolicy(new RetryBudget(0, 1), 3);
+    assertEquals(policy.decide(attempt(true, 9, 0, false)), new NextStep.Retry());
+    assertEquals(policy.decide(attempt(true, 9, 0, false)), new NextStep.EndMayHaveRun());
+  }
+
+  private static CircuitBreakers tripped(ManualTimerService time, UpstreamId... upstreams) {
+    CircuitBreakers breakers = new CircuitBreakers(time, BreakerSettings.DEFAULTS, 1);
+    for (UpstreamId upstream : upstreams) {
+      assertTrue(breakers.tryEnter(upstream));
+      breakers.outcome(upstream, AttemptOutcome.FAILED);
+      breakers.leave(upstream);
+    }
+    return breakers;
+  }
+
+  @Test
+  public void failingUpstreamGetsSingleProbes() {
+    ManualTimerService time = new ManualTimerService();
+    CircuitBreakers breakers = tripped(time, ENGINE);
+    assertFalse(breakers.tryEnter(ENGINE));
+    time.advance(1_000);
+    assertTrue(breakers.tryEnter(ENGINE));
+    assertFalse(breakers.tryEnter(ENGINE));
+    breakers.outcome(ENGINE, AttemptOutcome.ANSWERED);
+    breakers.leave(ENGINE);
+    assertTrue(breakers.tryEnter(ENGINE) && breakers.tryEnter(ENGINE));
+  }
+
+  @Test
+  public void requestsFromBeforeTheTripAreNotTakenForProbes() {
+    ManualTimerService time = new ManualTimerService();
+    CircuitBreakers breakers = new CircuitBreakers(time, BreakerSettings.DEFAULTS, 1);
+    for (int i = 0; i < 9; i++) {
+      breakers.tryEnter(ENGINE);
+    }
+    for (int i = 0; i < 8; i++) {
+      breakers.outcome(ENGINE, AttemptOutcome.FAILED);
+      breakers.leave(ENGINE);
+    }
+    time.advance(1_000);
+    assertTrue(breakers.tryEnter(ENGINE), "the pause grew without a probe");
+    breakers.leave(ENGINE);
+    assertFalse(breakers.tryEnter(ENGINE), "two probes at a time");
+  }
+
+  @Test
+  public void failedProbeLengthensThePause() {
+    ManualTimerService time = new ManualTimerService();
+    CircuitBreakers breakers = tripped(time, ENGINE);
+    time.advance(1_000);
+    assertTrue(breakers.tryEnter(ENGINE));
+    breakers.outcome(ENGINE, AttemptOutcome.FAILED);
+    breakers.leave(ENGINE);
+    time.advance(999);
+    assertFalse(breakers.tryEnter(ENGINE));
+    time.advance(1_001);
+    assertTrue(breakers.tryEnter(ENGINE));
+  }
+
+  @Test
+  public void probesStayWithinTheirBudget() {
+    ManualTimerService time = new ManualTimerService();
+    UpstreamId[] upstreams = new UpstreamId[5];
+    for (int i = 0; i < upstreams.length; i++) {
+      upstreams[i] = new UpstreamId("engine-" + i);
+    }
+    CircuitBreakers breakers = tripped(time, upstreams);
+    time.advance(5_000);
+    int entered = 0;
+    for (UpstreamId upstream : upstreams) {
+      entered += breakers.tryEnter(upstream) ? 1 : 0;
+    }
+    assertEquals(entered, BreakerSettings.DEFAULTS.probesPerSecond());
+  }
+
+  @Test
+  public void busyUpstreamAndFaultyRequestTripNothing() {
+    CircuitBreakers breakers =
+        new CircuitBreakers(new ManualTimerService(), BreakerSettings.DEFAULTS, 1);
+    breakers.outcome(ENGINE, AttemptOutcome.BUSY);
+    breakers.outcome(ENGINE, AttemptOutcome.REQUEST_AT_FAULT);
+    assertTrue(breakers.isClosed(ENGINE));
+  }
+
+  @Test
+  public void combinedGateLeavesWhatItEnteredWhenOneRefuses() {
+    ManualTimerService time = new ManualTimerService();
+    CircuitBreakers first = tripped(time, OTHER);
+    CircuitBreakers second = tripped(time, ENGINE);
+    time.advance(1_000);
+    UpstreamGate gate = UpstreamGate.all(List.of(first, second));
+    assertTrue(gate.tryEnter(ENGINE));
+    assertFalse(gate.tryEnter(ENGINE));
+    gate.leave(ENGINE);
+    assertTrue(gate.tryEnter(ENGINE));
+  }
+}
