Spread chats with several requests in flight and carry rising loads on

A chat with several requests in flight at one daemon is many callers behind one chat; its requests now start at a random one of so many candidates that each gets a small share of the mean. A reported load that rose faster than by chance is carried on until the next report. What remains is the first seconds, in which neither a report nor a daemon's own requests show the surge.

Run: ./build verify -pl coordination -am, 321 tests pass. On a scratch copy RouterTest failed without the carrying on, without the spread, and with counts that are never taken back.

--- a/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
@@ -25,6 +25,7 @@
   private double meanLoad;
   private double meanOwn;
   private double scale;
+  private long now;
 
   CandidateSet(List<UpstreamTracker> trackers, RouterSettings settings) {
     this.trackers = trackers.toArray(UpstreamTracker[]::new);
@@ -51,6 +52,7 @@
 
   /** Starts a decision: weighs the candidates and works out the mean load. */
   void begin(long key, RouteRequest request, FleetShare fleet, long nowMillis) {
+    now = nowMillis;
     open = 0;
     eligible = 0;
     maxShare = MIN_SHARE;
@@ -127,32 +129,32 @@
   }
 
   /** Tells whether the candidate takes the chat under its bound. */
-  boolean accepts(int index, long key, FleetShare fleet, long nowMillis) {
+  boolean accepts(int index, long key, FleetShare fleet) {
     UpstreamTracker tracker = trackers[index];
     double share = shares[index] / maxShare;
     double threshold = chatThreshold(key, tracker.hash);
     if (threshold >= share || !hasRoom(index)) {
       return false;
     }
-    if (!tracker.isFresh(nowMillis, settings.reportStaleMillis())) {
+    if (!tracker.isFresh(now, settings.reportStaleMillis())) {
       double bound = settings.loadMultiple() * share * meanOwn;
       return tracker.inFlight() + 1 <= Math.floor(bound + fleet.roundingOffset(tracker.hash));
     }
     double hard = Math.max(1, settings.loadMultiple() * share * meanLoad);
     double soft = settings.softMultiple() * share * meanLoad;
-    double load = tracker.estimate(scale);
+    double load = tracker.estimate(scale, now);
     return load + 1 <= hard && (load <= soft || threshold < (hard - load) / (hard - soft));
   }
 
   /** Tells whether the candidate is below the load at which it begins to shed chats. */
   boolean isBelowSoftBound(int index) {
     double share = shares[index] / maxShare;
-    return trackers[index].estimate(scale) <= settings.softMultiple() * share * meanLoad;
+    return trackers[index].estimate(scale, now) <= settings.softMultiple() * share * meanLoad;
   }
 
   /** Tells whether the candidate is below its limit of concurrent requests. */
   boolean hasRoom(int index) {
-    return trackers[index].estimate(scale) + 1 <= trackers[index].spec().maxInFlight();
+    return trackers[index].estimate(scale, now) + 1 <= trackers[index].spec().maxInFlight();
   }
 
   /** Returns the eligible candidates with room from the least to the most loaded. */
@@ -174,7 +176,7 @@
   }
 
   private long loadKey(int index, long key) {
-    double load = (trackers[index].estimate(scale) + 1) / shares[index];
+    double load = (trackers[index].estimate(scale, now) + 1) / shares[index];
     long tieBreak = Rendezvous.weight(trackers[index].hash, key) & 0xffff;
     return ((long) Math.min(load, 1e8) << 32) | (tieBreak << 16) | index;
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/Router.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/Router.java
@@ -53,7 +53,11 @@
     if (set.eligible() == 0) {
       return refused(set.open() == 0 ? RefusalReason.OUT_OF_SERVICE : RefusalReason.ALL_TRIED);
     }
-    Slot slot = takeHinted(set, key, now);
+    int passOver = state.chats().passOver(key, state.fleet(), set.meanLoad(), set.eligible());
+    Slot slot = passOver == 0 ? takeHinted(set, key, now) : null;
+    for (int i = 0; i < passOver; i++) {
+      set.next();
+    }
     if (slot == null) {
       slot = takeInOrder(set, key, now);
     }
@@ -69,7 +73,7 @@
     if (index < 0 || !set.isBelowSoftBound(index)) {
       return null;
     }
-    return set.accepts(index, key, state.fleet(), now) ? take(set, index, now) : null;
+    return set.accepts(index, key, state.fleet()) ? take(set, index, key, now) : null;
   }
 
   private Slot takeInOrder(CandidateSet set, long key, long now) {
@@ -78,8 +82,8 @@
       if (index < 0) {
         return null;
       }
-      if (set.accepts(index, key, state.fleet(), now)) {
-        Slot slot = take(set, index, now);
+      if (set.accepts(index, key, state.fleet())) {
+        Slot slot = take(set, index, key, now);
         if (slot != null) {
           return slot;
         }
@@ -91,7 +95,7 @@
   private RouteResult takeLeastLoaded(CandidateSet set, long key, RouteRequest request, long now) {
     int[] order = set.byLoad(key, request);
     for (int index : order) {
-      Slot slot = take(set, index, now);
+      Slot slot = take(set, index, key, now);
       if (slot != null) {
         return new RouteResult.Chosen(slot);
       }
@@ -99,9 +103,15 @@
     return refused(order.length == 0 ? RefusalReason.OVERLOADED : RefusalReason.HELD_BACK);
   }
 
-  private Slot take(CandidateSet set, int index, long now) {
+  private Slot take(CandidateSet set, int index, long key, long now) {
     UpstreamTracker tracker = set.tracker(index);
-    return gate.tryEnter(tracker.spec().id()) ? tracker.add(gate, now) : null;
+    if (!gate.tryEnter(tracker.spec().id())) {
+      return null;
+    }
+    Slot slot = new Slot(tracker, gate, state.chats(), key, now);
+    tracker.add(slot);
+    state.chats().started(key);
+    return slot;
   }
 
   private RouteResult refused(RefusalReason reason) {
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingState.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingState.java
@@ -19,6 +19,7 @@
 final class RoutingState {
   private final RouterSettings settings;
   private final HintTable hints;
+  private final ParallelChats chats = new ParallelChats();
   private final Map<IgnoredFact, Long> ignored = new EnumMap<>(IgnoredFact.class);
   private Map<UpstreamId, UpstreamTracker> trackers = new LinkedHashMap<>();
   private Map<ModelId, CandidateSet> candidates = Map.of();
@@ -34,6 +35,10 @@
     return hints;
   }
 
+  ParallelChats chats() {
+    return chats;
+  }
+
   FleetShare fleet() {
     return fleet;
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/Slot.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/Slot.java
@@ -14,9 +14,18 @@
   Slot newer;
   private final UpstreamTracker tracker;
   private final UpstreamGate gate;
+  private final ParallelChats chats;
+  private final long chatKey;
   private boolean released;
 
-  Slot(UpstreamTracker tracker, UpstreamGate gate, long startedAtMillis) {
+  Slot(
+      UpstreamTracker tracker,
+      UpstreamGate gate,
+      ParallelChats chats,
+      long chatKey,
+      long startedAtMillis) {
+    this.chats = chats;
+    this.chatKey = chatKey;
     this.tracker = tracker;
     this.gate = gate;
     this.startedAtMillis = startedAtMillis;
@@ -37,6 +46,7 @@
     if (!released) {
       released = true;
       tracker.remove(this);
+      chats.ended(chatKey);
       gate.leave(upstream());
     }
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamTracker.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamTracker.java
@@ -18,6 +18,7 @@
   private long measuredAtMillis = NEVER;
   private long incarnation;
   private long reported;
+  private double growthPerMilli;
   private long lastCacheSequence = NEVER;
   private int inFlight;
   private int unreported;
@@ -64,8 +65,13 @@
   boolean report(LoadReport report) {
     final boolean restarted = measuredAtMillis != NEVER && report.incarnation() != incarnation;
     incarnation = report.incarnation();
+    long load = report.running() + report.waiting();
+    long elapsed = report.measuredAtMillis() - measuredAtMillis;
+    boolean known = measuredAtMillis != NEVER && !restarted;
+    boolean surges = known && load - reported > Math.sqrt(reported + 1.0);
+    growthPerMilli = surges ? (double) (load - reported) / elapsed : 0;
     measuredAtMillis = report.measuredAtMillis();
-    reported = report.running() + report.waiting();
+    reported = load;
     unreported = 0;
     for (Slot s = newest; s != null && s.startedAtMillis > measuredAtMillis; s = s.older) {
       unreported++;
@@ -98,9 +104,13 @@
     return unreported;
   }
 
-  /** Returns the load over all daemons, own unreported starts counted {@code scale} times. */
-  double estimate(double scale) {
-    return Math.max(reported + scale * unreported, inFlight);
+  /**
+   * Returns the load over all daemons: the last report, carried on when it rose faster than by
+   * chance, and own unreported starts counted {@code scale} times.
+   */
+  double estimate(double scale, long nowMillis) {
+    double growth = growthPerMilli == 0 ? 0 : growthPerMilli * (nowMillis - measuredAtMillis);
+    return Math.max(reported + Math.max(growth, scale * unreported), inFlight);
   }
 
   /** Returns the share of its work that the upstream gets while it returns, up to 1. */
@@ -111,18 +121,16 @@
     return (double) (nowMillis - rampStartMillis) / rampMillis;
   }
 
-  Slot add(UpstreamGate gate, long nowMillis) {
-    Slot slot = new Slot(this, gate, nowMillis);
+  void add(Slot slot) {
     slot.older = newest;
     if (newest != null) {
       newest.newer = slot;
     }
     newest = slot;
     inFlight++;
-    if (nowMillis > measuredAtMillis) {
+    if (slot.startedAtMillis > measuredAtMillis) {
       unreported++;
     }
-    return slot;
   }
 
   void remove(Slot slot) {
--- a/coordination/src/test/java/org/ragworttide/coordination/routing/RouterTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/routing/RouterTest.java
@@ -114,6 +114,32 @@
     }
   }
 
+  @Test
+  public void loadThatRisesFasterThanByChanceIsCarriedOn() {
+    RouterFixture fleet = new RouterFixture(1);
+    fleet.reportAll(1, 10);
+    fleet.time.advance(1_000);
+    fleet.report(3, 1, 14);
+    fleet.time.advance(1_000);
+    for (int chat = 0; chat < CHATS; chat++) {
+      assertNotEquals(place(fleet.routers.getFirst(), "chat-" + chat), id(3));
+    }
+  }
+
+  @Test
+  public void chatWithManyRequestsInFlightIsSpread() {
+    RouterFixture fleet = new RouterFixture(7);
+    fleet.reportAll(1, 10);
+    Set<UpstreamId> parallel = new HashSet<>();
+    Set<UpstreamId> sequential = new HashSet<>();
+    for (int i = 0; i < 20; i++) {
+      parallel.add(chosen(fleet.routers.get(0).route(request("hot"))).upstream());
+      sequential.add(place(fleet.routers.get(1), "hot"));
+    }
+    assertTrue(parallel.size() >= 6, "engines used: " + parallel.size());
+    assertEquals(sequential.size(), 1);
+  }
+
   @Test
   public void triedEnginesAreNotChosenAgain() {
     RouterFixture fleet = new RouterFixture(1);
