Add the facade of the coordination library over leases, limits, claims and admission

A lease given up early (stop, change of group) would let the next owner begin while permits of the earlier one could still be used. The votes are now given back only when the last permit is over.

--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/FleetPolicy.java
@@ -0,0 +1,35 @@
+package org.ragworttide.coordination;
+
+import java.util.List;
+import java.util.Map;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.id.ZoneId;
+import org.ragworttide.coordination.limits.RateLimit;
+import org.ragworttide.coordination.routing.UpstreamSpec;
+import org.ragworttide.coordination.routing.ZoneState;
+
+/**
+ * What a configuration version lays down for coordination.
+ *
+ * <p>Immutable, safe for use by any thread.
+ *
+ * @param rates rate and burst of each organisation, which count fleet-wide
+ * @param coldLimits most requests at once, fleet-wide, to an upstream that is cold
+ * @param upstreams where requests may go
+ * @param zones which availability zones take new work
+ */
+public record FleetPolicy(
+    Map<OrganisationId, RateLimit> rates,
+    Map<UpstreamId, Integer> coldLimits,
+    List<UpstreamSpec> upstreams,
+    Map<ZoneId, ZoneState> zones) {
+
+  /** Copies the collections. */
+  public FleetPolicy {
+    rates = Map.copyOf(rates);
+    coldLimits = Map.copyOf(coldLimits);
+    upstreams = List.copyOf(upstreams);
+    zones = Map.copyOf(zones);
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/SharedRights.java
@@ -0,0 +1,118 @@
+package org.ragworttide.coordination;
+
+import java.util.Optional;
+import org.ragworttide.coordination.admission.AdmissionSettings;
+import org.ragworttide.coordination.admission.ColdAdmission;
+import org.ragworttide.coordination.claims.ClaimManager;
+import org.ragworttide.coordination.claims.ClaimSettings;
+import org.ragworttide.coordination.group.GroupSize;
+import org.ragworttide.coordination.group.Shard;
+import org.ragworttide.coordination.id.Incarnation;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.lease.LeaseManager;
+import org.ragworttide.coordination.lease.LeaseSettings;
+import org.ragworttide.coordination.limits.LimitSettings;
+import org.ragworttide.coordination.limits.Limits;
+import org.ragworttide.coordination.membership.VmList;
+import org.ragworttide.coordination.message.GroupMessage;
+import org.ragworttide.coordination.message.Transport;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * The parts that rest on votes of groups: leases, what is handed out under them, and claims.
+ *
+ * <p>Invariant: a lease that is given up is released only when all that was handed out under it is
+ * over. Confined to the coordination thread.
+ */
+final class SharedRights {
+  private final TimerService time;
+  private final LeaseManager leases;
+  private final LeaseOwners owners;
+  private final ClaimManager claims;
+  private final Limits limits;
+  private final ColdAdmission cold;
+
+  SharedRights(
+      VmId self,
+      Incarnation incarnation,
+      TimerService time,
+      Transport transport,
+      FleetConstants constants) {
+    this.time = time;
+    GroupSize size = GroupSize.forFleetOf(constants.maxEntryVms());
+    this.leases =
+        new LeaseManager(
+            self, incarnation, time, transport, leaseSettings(size), this::unusedFromMillis);
+    this.owners = new LeaseOwners(leases);
+    this.claims =
+        new ClaimManager(self, incarnation, time, transport, claimSettings(size, constants));
+    LimitSettings limitSettings = LimitSettings.of(constants.maxEntryVms());
+    this.limits = new Limits(self, incarnation, time, transport, owners, limitSettings);
+    this.cold =
+        new ColdAdmission(
+            self, time, owners, transport, AdmissionSettings.DEFAULTS, incarnation.value());
+  }
+
+  LeaseManager leases() {
+    return leases;
+  }
+
+  ClaimManager claims() {
+    return claims;
+  }
+
+  Limits limits() {
+    return limits;
+  }
+
+  ColdAdmission cold() {
+    return cold;
+  }
+
+  Optional<VmId> ownerOf(String resource) {
+    return owners.ownerOf(resource);
+  }
+
+  void adopt(VmList list) {
+    leases.adopt(list);
+    claims.adopt(list);
+  }
+
+  void receive(VmId from, GroupMessage message) {
+    leases.onGroupMessage(from, message);
+    claims.onGroupMessage(from, message);
+  }
+
+  void apply(FleetPolicy policy) {
+    limits.apply(policy.rates());
+    cold.coldLimits(policy.coldLimits());
+  }
+
+  void stop() {
+    limits.release();
+    leases.stop();
+  }
+
+  private long unusedFromMillis(Shard shard) {
+    AdmissionSettings settings = AdmissionSettings.DEFAULTS;
+    long coldPermit = (long) (settings.permitMillis() * (1 + 2 * settings.clockRateTolerance()));
+    return Math.max(limits.permitsOverAtMillis(), time.nowMillis() + coldPermit);
+  }
+
+  private static LeaseSettings leaseSettings(GroupSize size) {
+    LeaseSettings usual = LeaseSettings.DEFAULT;
+    return new LeaseSettings(size, usual.leaseMillis(), usual.tickMillis());
+  }
+
+  private static ClaimSettings claimSettings(GroupSize size, FleetConstants constants) {
+    ClaimSettings usual = ClaimSettings.DEFAULT;
+    return new ClaimSettings(
+        size,
+        usual.voteWindowMillis(),
+        constants.claimRetentionMillis(),
+        usual.tickMillis(),
+        usual.maxVotes(),
+        usual.maxClaims(),
+        usual.maxAnswerBytes());
+  }
+}
--- a/coordination/src/main/java/org/ragworttide/coordination/group/GroupSize.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/group/GroupSize.java
@@ -13,6 +13,14 @@
   /** Five voters, three of which decide. */
   public static final GroupSize FIVE = new GroupSize(5, 3);
 
+  /** Three voters, two of which decide, for fleets of fewer than five VMs. */
+  public static final GroupSize THREE = new GroupSize(3, 2);
+
+  /** Returns the size for a fleet of at most the given number of VMs. */
+  public static GroupSize forFleetOf(int maxEntryVms) {
+    return maxEntryVms < FIVE.voters() ? THREE : FIVE;
+  }
+
   /** Checks that quorums overlap. */
   public GroupSize {
     if (quorum <= 0 || quorum > voters || 2 * quorum <= voters) {
--- a/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
@@ -30,8 +30,11 @@
   private final AttemptNumbers attempts;
   private final Voter voter;
   private final VotePort votes;
+  private final LeaseUse use;
   private final Map<Long, Round> rounds = new TreeMap<>();
   private final Map<Integer, Long> expiresAtMillis = new TreeMap<>();
+  private final Map<Integer, Long> heldSinceMillis = new HashMap<>();
+  private final Map<Integer, Retired> retired = new TreeMap<>();
   private final Map<Integer, Long> campaigningSinceMillis = new HashMap<>();
   private final Map<Integer, Long> campaignNotBeforeMillis = new HashMap<>();
   private boolean stopped;
@@ -42,19 +45,22 @@
       LeaseSettings settings,
       AttemptNumbers attempts,
       Voter voter,
-      VotePort votes) {
+      VotePort votes,
+      LeaseUse use) {
     this.self = self;
     this.timers = timers;
     this.settings = settings;
     this.attempts = attempts;
     this.voter = voter;
     this.votes = votes;
+    this.use = use;
   }
 
   void tick() {
     long now = timers.nowMillis();
     rounds.values().removeIf(round -> now >= round.sentAtMillis() + settings.leaseMillis());
     expiresAtMillis.values().removeIf(expires -> now >= expires);
+    releaseUnused(now);
     if (!stopped && voter.groups().isPresent()) {
       GroupSelection groups = voter.groups().get();
       giveUpFailedCampaigns(groups, now);
@@ -78,6 +84,9 @@
     if (expires != null) {
       return expires - now <= settings.renewBeforeMillis();
     }
+    if (retired.containsKey(shard)) {
+      return false;
+    }
     Optional<VmId> votedFor = voter.votedFor(new Shard(shard), NO_KEY);
     if (votedFor.isPresent() && !votedFor.get().equals(self)) {
       campaignNotBeforeMillis.remove(shard);
@@ -144,6 +153,9 @@
   private void count(Round round, int shard, VmId from) {
     long expires = round.sentAtMillis() + settings.leaseMillis();
     if (round.count(shard, from) >= settings.size().quorum() && timers.nowMillis() < expires) {
+      if (!isOwner(shard)) {
+        heldSinceMillis.put(shard, timers.nowMillis());
+      }
       expiresAtMillis.merge(shard, expires, Math::max);
       campaigningSinceMillis.remove(shard);
       campaignNotBeforeMillis.remove(shard);
@@ -153,22 +165,41 @@
   /** Gives back the shards whose groups this VM has left. */
   void onAdopted() {
     GroupSelection groups = voter.groups().orElseThrow();
-    List<Integer> left =
-        owned().stream()
-            .filter(shard -> !groups.group(shard).contains(self))
-            .map(Shard::number)
-            .toList();
+    List<Shard> left =
+        owned().stream().filter(shard -> !groups.group(shard).contains(self)).toList();
     rounds.clear();
     campaigningSinceMillis.clear();
-    giveBack(groups, left);
+    left.forEach(this::retire);
+    releaseUnused(timers.nowMillis());
   }
 
   void stop() {
     stopped = true;
     List<Integer> asked = new ArrayList<>(campaigningSinceMillis.keySet());
-    asked.addAll(expiresAtMillis.keySet());
     rounds.clear();
     voter.groups().ifPresent(groups -> giveBack(groups, asked));
+    owned().forEach(this::retire);
+    releaseUnused(timers.nowMillis());
+  }
+
+  /** Ends the ownership of a shard; its votes are given back once nothing rests on them. */
+  private void retire(Shard shard) {
+    long expires = expiresAtMillis(shard.number());
+    long unusedFrom = Math.min(expires, use.unusedFromMillis(shard));
+    expiresAtMillis.remove(shard.number());
+    heldSinceMillis.remove(shard.number());
+    retired.put(shard.number(), new Retired(unusedFrom, expires));
+  }
+
+  private void releaseUnused(long now) {
+    retired.values().removeIf(lease -> now >= lease.expiresAtMillis());
+    List<Integer> unused =
+        retired.entrySet().stream()
+            .filter(entry -> now >= entry.getValue().unusedFromMillis())
+            .map(Map.Entry::getKey)
+            .toList();
+    unused.forEach(retired::remove);
+    voter.groups().ifPresent(groups -> giveBack(groups, unused));
   }
 
   private void giveBack(GroupSelection groups, List<Integer> shards) {
@@ -178,6 +209,7 @@
     for (int shard : shards) {
       rounds.values().forEach(round -> round.remove(shard));
       expiresAtMillis.remove(shard);
+      heldSinceMillis.remove(shard);
       campaigningSinceMillis.remove(shard);
     }
     votes.release(groups, attempts.last(), shards);
@@ -188,6 +220,12 @@
     return expires != null && timers.nowMillis() < expires;
   }
 
+  /** Returns since when the shard has been owned without a break, or the present time. */
+  long heldSinceMillis(int shard) {
+    long now = timers.nowMillis();
+    return isOwner(shard) ? heldSinceMillis.getOrDefault(shard, now) : now;
+  }
+
   long expiresAtMillis(int shard) {
     long now = timers.nowMillis();
     return Math.max(now, expiresAtMillis.getOrDefault(shard, now));
@@ -196,4 +234,7 @@
   List<Shard> owned() {
     return expiresAtMillis.keySet().stream().filter(this::isOwner).map(Shard::new).toList();
   }
+
+  /** A lease that was given up; no round counts for it before its votes are given back. */
+  private record Retired(long unusedFromMillis, long expiresAtMillis) {}
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseManager.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseManager.java
@@ -35,18 +35,29 @@
   private final Campaign campaign;
   private final IgnoredMessages ignored = new IgnoredMessages();
 
-  /** Starts without any lease and without any list. */
+  /** Starts without any lease and without any list; nothing is handed out under the leases. */
   public LeaseManager(
       VmId self,
       Incarnation incarnation,
       TimerService timers,
       Transport transport,
       LeaseSettings settings) {
+    this(self, incarnation, timers, transport, settings, LeaseUse.NONE);
+  }
+
+  /** Starts without any lease and without any list. */
+  public LeaseManager(
+      VmId self,
+      Incarnation incarnation,
+      TimerService timers,
+      Transport transport,
+      LeaseSettings settings,
+      LeaseUse use) {
     this.transport = transport;
     AttemptNumbers attempts = new AttemptNumbers(incarnation);
     this.voter = new Voter(self, attempts, timers, transport, settings.voterSettings(), ignored);
     VotePort votes = new VotePort(self, incarnation, transport, this::isGranted, this::forget);
-    this.campaign = new Campaign(self, timers, settings, attempts, voter, votes);
+    this.campaign = new Campaign(self, timers, settings, attempts, voter, votes, use);
     timers.every(settings.tickMillis(), this::tick);
   }
 
@@ -131,6 +142,11 @@
     return campaign.expiresAtMillis(shard.number());
   }
 
+  @Override
+  public long heldSinceMillis(Shard shard) {
+    return campaign.heldSinceMillis(shard.number());
+  }
+
   @Override
   public Optional<VmId> ownerOf(Shard shard) {
     Optional<VmId> voted = voter.votedFor(shard, NO_KEY);
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitQueries.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitQueries.java
@@ -12,6 +12,9 @@
   /** Returns the events counted since the start. */
   LimitCounters counters();
 
+  /** Returns when the last permit handed out by this VM until now is over, on this VM's clock. */
+  long permitsOverAtMillis();
+
   /** Returns the unused tokens that this VM holds in valid permits. */
   long heldTokens(OrganisationId organisation);
 
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/Limits.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/Limits.java
@@ -84,6 +84,11 @@
     holder.release();
   }
 
+  @Override
+  public long permitsOverAtMillis() {
+    return time.nowMillis() + ClockRate.stretched(LimitTimes.PERMIT_MILLIS);
+  }
+
   @Override
   public LimitCounters counters() {
     return tally.counters();
