Keep the path's promises under failures of upstreams and callers

Streams that are lost, stall or end without their mark continue on another engine after what the caller has, else end with an error event. A stall counts only while the caller wants more, so that a slow reader is not taken for a dead engine; a read timeout on the socket could not tell them apart. A drain closes the listener after its notice and waits for running answers and for bookings whose callers have left.

--- a/daemon/src/main/java/org/ragworttide/daemon/DaemonHttp.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/DaemonHttp.java
@@ -51,6 +51,16 @@
     callers.onConfiguration();
   }
 
+  /** Returns whether a drain has begun, so that the daemon isn't ready any more. */
+  public boolean draining() {
+    return callers.draining();
+  }
+
+  /** Finishes the running requests, then completes; new ones are served until balancers notice. */
+  public Mono<Void> drain() {
+    return callers.drain();
+  }
+
   /** Stops to listen and closes the connections. */
   public Mono<Void> close() {
     return callers.close().then(upstreams.close());
--- a/daemon/src/main/java/org/ragworttide/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/CallerHandler.java
@@ -1,6 +1,7 @@
 package org.ragworttide.daemon.caller;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.HexFormat;
 import java.util.UUID;
 import java.util.function.BiFunction;
@@ -9,6 +10,7 @@
 import org.ragworttide.daemon.relay.AnswerPart;
 import org.ragworttide.daemon.relay.CallerRequest;
 import org.ragworttide.daemon.relay.HeaderFilter;
+import org.ragworttide.daemon.relay.InFlight;
 import org.ragworttide.daemon.relay.Problem;
 import org.ragworttide.daemon.relay.ProblemCode;
 import org.ragworttide.daemon.relay.Relay;
@@ -28,20 +30,35 @@
  */
 final class CallerHandler
     implements BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> {
+  private static final Duration LINGER = Duration.ofSeconds(5);
+
   private final IntakeCheck intake;
   private final BodyReader bodies;
   private final Relay relay;
   private final RunningRequests running;
+  private final Drain drain;
 
-  CallerHandler(IntakeCheck intake, BodyReader bodies, Relay relay, RunningRequests running) {
+  CallerHandler(
+      IntakeCheck intake, BodyReader bodies, Relay relay, RunningRequests running, Drain drain) {
     this.intake = intake;
     this.bodies = bodies;
     this.relay = relay;
     this.running = running;
+    this.drain = drain;
   }
 
   @Override
   public Publisher<Void> apply(HttpServerRequest request, HttpServerResponse response) {
+    return Mono.using(
+        () -> {
+          drain.requests().enter();
+          return drain.requests();
+        },
+        unused -> handle(request, response),
+        InFlight::exit);
+  }
+
+  private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     RequestId id = requestId(request);
     RequestHead head =
         new RequestHead(request.method(), request.uri(), request.requestHeaders().copy());
@@ -71,11 +88,18 @@
       case BodyReader.Result.Refused refused -> refuseUnread(refused.problem(), response, id);
       case BodyReader.Result.Body body -> {
         Flux<AnswerPart> parts = parts(head, accepted, body.bytes(), id);
-        yield AnswerWriter.write(parts, response, id);
+        yield AnswerWriter.write(parts.doOnNext(unused -> closeOnDrain(response)), response, id)
+            .timeout(accepted.deadline().remaining().plus(LINGER));
       }
     };
   }
 
+  private void closeOnDrain(HttpServerResponse response) {
+    if (drain.begun() && !response.hasSentHeaders()) {
+      response.keepAlive(false);
+    }
+  }
+
   private Flux<AnswerPart> parts(
       RequestHead head, Intake.Accepted accepted, byte[] body, RequestId id) {
     Route route = accepted.route();
--- a/daemon/src/main/java/org/ragworttide/daemon/caller/CallerSettings.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/CallerSettings.java
@@ -12,6 +12,7 @@
  * @param maxBodyBytes largest body of a request
  * @param bodyTimeoutMillis longest time for a body to arrive
  * @param idleMillis how long an unused connection is kept
+ * @param drainNoticeMillis how long the listener stays open after a drain has begun
  */
 public record CallerSettings(
     String host,
@@ -20,7 +21,8 @@
     int maxHeaderBytes,
     int maxBodyBytes,
     long bodyTimeoutMillis,
-    long idleMillis) {
+    long idleMillis,
+    long drainNoticeMillis) {
 
   /** Checks the ranges. */
   public CallerSettings {
@@ -29,13 +31,14 @@
         || maxHeaderBytes <= 0
         || maxBodyBytes <= 0
         || bodyTimeoutMillis <= 0
-        || idleMillis <= 0) {
+        || idleMillis <= 0
+        || drainNoticeMillis < 0) {
       throw new IllegalArgumentException("limits of the callers' listener must be positive");
     }
   }
 
   /** Returns the settings used when none are given. */
   public static CallerSettings defaults(String host, int port) {
-    return new CallerSettings(host, port, 8 << 10, 16 << 10, 1 << 20, 10_000, 60_000);
+    return new CallerSettings(host, port, 8 << 10, 16 << 10, 1 << 20, 10_000, 60_000, 2_000);
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/Drain.java
@@ -0,0 +1,25 @@
+package org.ragworttide.daemon.caller;
+
+import org.ragworttide.daemon.relay.InFlight;
+
+/**
+ * Whether the listener is being stopped, and the requests it still serves.
+ *
+ * <p>Invariant: once begun, a drain does not end. Safe for use by any thread.
+ */
+final class Drain {
+  private final InFlight requests = new InFlight();
+  private volatile boolean begun;
+
+  void begin() {
+    begun = true;
+  }
+
+  boolean begun() {
+    return begun;
+  }
+
+  InFlight requests() {
+    return requests;
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/Attempt.java
@@ -27,6 +27,7 @@
   /** Tells an upstream, and this daemon, the milliseconds left. */
   static final String REQUEST_TIMEOUT = "Request-Timeout-Ms";
 
+  private static final String REQUEST_ID = "Request-Id";
   private static final Set<Integer> BUSY_STATUSES = Set.of(502, 503, 504);
   private static final String EVENT_STREAM = "text/event-stream";
   private static final int OK = 200;
@@ -62,13 +63,19 @@
   }
 
   Flux<AnswerPart> parts() {
-    return client
-        .send(placed.address(), upstreamRequest(), gate)
+    return events()
         .doOnNext(this::noteHead)
         .switchOnFirst(this::byKind)
         .doFinally(unused -> placed.slot().release(outcome()));
   }
 
+  private Flux<UpstreamEvent> events() {
+    Flux<UpstreamEvent> events = client.send(placed.address(), upstreamRequest(), gate);
+    return request.streaming()
+        ? StallDetector.watch(events, settings.firstByteMillis(), settings.stallMillis())
+        : events;
+  }
+
   AttemptResult result() {
     return result == null ? lost("no answer") : result;
   }
@@ -76,7 +83,10 @@
   private UpstreamRequest upstreamRequest() {
     long remainingMillis = Math.max(1, request.deadline().remainingMillis());
     UpstreamRequest timed =
-        request.upstream().withHeader(REQUEST_TIMEOUT, Long.toString(remainingMillis));
+        request
+            .upstream()
+            .withHeader(REQUEST_ID, request.id().value())
+            .withHeader(REQUEST_TIMEOUT, Long.toString(remainingMillis));
     return progress.started()
         ? timed.withHeader(RESUME_AFTER, Integer.toString(progress.deliveredChunks()))
         : timed;
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/ClaimedRun.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/ClaimedRun.java
@@ -27,19 +27,30 @@
   private final RequestRun run;
   private final Claims claims;
   private final RelaySettings settings;
+  private final InFlight inFlight;
 
-  ClaimedRun(CallerRequest request, RequestRun run, Claims claims, RelaySettings settings) {
+  ClaimedRun(
+      CallerRequest request,
+      RequestRun run,
+      Claims claims,
+      RelaySettings settings,
+      InFlight inFlight) {
     this.request = request;
     this.run = run;
     this.claims = claims;
     this.settings = settings;
+    this.inFlight = inFlight;
   }
 
   /** Returns the answer's part; cancelling keeps an unsent request from being sent. */
   Flux<AnswerPart> parts(Flux<AnswerPart> granted) {
     return Flux.defer(
         () -> {
-          Mono<AnswerPart> outcome = claim().flatMap(decision -> onDecision(decision, granted));
+          inFlight.enter();
+          Mono<AnswerPart> outcome =
+              claim()
+                  .flatMap(decision -> onDecision(decision, granted))
+                  .doFinally(unused -> inFlight.exit());
           return Mono.fromFuture(outcome.toFuture(), true).doOnCancel(run::interrupt).flux();
         });
   }
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/HeaderFilter.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/HeaderFilter.java
@@ -38,8 +38,7 @@
           "accept-encoding",
           "request-timeout-ms",
           "stream-resume-after",
-          "request-id",
-          "chat-id");
+          "request-id");
 
   private HeaderFilter() {}
 
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/Relay.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/Relay.java
@@ -16,6 +16,7 @@
   private final RelayPorts ports;
   private final RelaySettings settings;
   private final UpstreamClient client;
+  private final InFlight claimedRuns = new InFlight();
 
   /** Creates a relay over the ports and the client. */
   public Relay(RelayPorts ports, RelaySettings settings, UpstreamClient client) {
@@ -36,12 +37,18 @@
           RequestRun run = new RequestRun(request, ports, settings, client);
           Flux<AnswerPart> parts = admitted(request, run::parts);
           if (!request.upstream().idempotent()) {
-            parts = new ClaimedRun(request, run, ports.claims(), settings).parts(parts);
+            parts =
+                new ClaimedRun(request, run, ports.claims(), settings, claimedRuns).parts(parts);
           }
           return new Interruption(request, run).guard(parts, withdrawn);
         });
   }
 
+  /** Returns the non-idempotent runs in progress, which may outlast their callers. */
+  public InFlight claimedRuns() {
+    return claimedRuns;
+  }
+
   private Flux<AnswerPart> admitted(CallerRequest request, Supplier<Flux<AnswerPart>> parts) {
     if (request.organisation().isEmpty()) {
       return Flux.defer(parts);
--- /dev/null
+++ b/daemon/src/test/java/org/ragworttide/daemon/DrainTest.java
@@ -0,0 +1,109 @@
+package org.ragworttide.daemon;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.ragworttide.daemon.caller.CallerSettings;
+import org.testng.annotations.Test;
+
+/** Shows that a drain cuts nothing that runs. */
+public final class DrainTest {
+  private static final long PATIENCE_SECONDS = 20;
+
+  @Test
+  public void runningStreamFinishesAndTheListenerCloses() throws Exception {
+    CountDownLatch finish = new CountDownLatch(1);
+    ScriptedUpstream.Script slow =
+        exchange -> {
+          exchange.streamHead();
+          exchange.event("{\"n\":0}");
+          await(finish);
+          exchange.endStream();
+        };
+    try (PathFixture path = PathFixture.start(withNotice(0), slow)) {
+      RawCaller caller = new RawCaller(path.http.callerAddress());
+      caller.post(PathFixture.CHAT, PathFixture.STREAMED_CHAT);
+      caller.readUntil("\"n\":0");
+      CompletableFuture<Void> drained = path.http.drain().toFuture();
+      assertTrue(path.http.draining());
+      awaitRefusedConnections(path);
+      assertFalse(drained.isDone());
+      finish.countDown();
+      assertTrue(caller.readUntil("[DONE]\n\n").endsWith("[DONE]\n\n"));
+      drained.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+  }
+
+  @Test
+  public void answersDuringNoticeCloseTheirConnections() throws Exception {
+    try (PathFixture path =
+        PathFixture.start(withNotice(60_000), exchange -> exchange.json("{}"))) {
+      RawCaller caller = new RawCaller(path.http.callerAddress());
+      caller.post("/stock", "{}");
+      assertFalse(caller.readUntil("{}").toLowerCase().contains("connection: close"));
+      path.http.drain().subscribe();
+      caller.post("/stock", "{}");
+      String answer = caller.readAll();
+      assertTrue(answer.contains("200 OK"), answer);
+      assertTrue(answer.toLowerCase().contains("connection: close"), answer);
+    }
+  }
+
+  @Test
+  public void bookingWhoseCallerLeftIsWaitedFor() throws Exception {
+    CountDownLatch arrived = new CountDownLatch(1);
+    CountDownLatch finish = new CountDownLatch(1);
+    ScriptedUpstream.Script slow =
+        exchange -> {
+          arrived.countDown();
+          await(finish);
+          exchange.json("{}");
+        };
+    try (PathFixture path = PathFixture.start(withNotice(0), slow)) {
+      HttpResponse<String> response =
+          path.send(
+              path.post("/bookings", "{}")
+                  .header("Idempotency-Key", "k-1")
+                  .header("Request-Timeout-Ms", "500"));
+      assertEquals(response.statusCode(), 504);
+      assertTrue(arrived.await(PATIENCE_SECONDS, TimeUnit.SECONDS));
+      CompletableFuture<Void> drained = path.http.drain().toFuture();
+      awaitRefusedConnections(path);
+      assertFalse(drained.isDone());
+      finish.countDown();
+      drained.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+  }
+
+  private static DaemonHttp.Settings withNotice(long noticeMillis) {
+    CallerSettings caller =
+        new CallerSettings(
+            "127.0.0.1", 0, 8 << 10, 16 << 10, 1 << 20, 10_000, 60_000, noticeMillis);
+    DaemonHttp.Settings defaults = PathFixture.defaults();
+    return new DaemonHttp.Settings(caller, defaults.relay(), defaults.upstream());
+  }
+
+  private static void awaitRefusedConnections(PathFixture path) throws Exception {
+    while (true) {
+      try (RawCaller caller = new RawCaller(path.http.callerAddress())) {
+        Thread.onSpinWait();
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- a/daemon/src/test/java/org/ragworttide/daemon/PathFixture.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/PathFixture.java
@@ -19,6 +19,7 @@
 import org.ragworttide.daemon.decision.LocalPlacement;
 import org.ragworttide.daemon.decision.LocalRateLimits;
 import org.ragworttide.daemon.decision.LocalRetryBudget;
+import org.ragworttide.daemon.decision.RetryBudget;
 import org.ragworttide.daemon.relay.RelayPorts;
 import org.ragworttide.document.ConfigurationDocument;
 import org.ragworttide.document.ConfigurationDocument.Fleet;
@@ -48,29 +49,40 @@
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
-  private PathFixture(DaemonHttp.Settings settings, List<ScriptedUpstream> upstreams) {
+  private PathFixture(
+      DaemonHttp.Settings settings, RetryBudget retries, List<ScriptedUpstream> upstreams) {
     this.upstreams = upstreams;
     configuration.set(document(1, upstreams, false));
     RelayPorts ports =
         new RelayPorts(
-            new LocalRateLimits(configuration::get),
-            new LocalClaims(),
-            placement,
-            new LocalRetryBudget(0.1, 100));
+            new LocalRateLimits(configuration::get), new LocalClaims(), placement, retries);
     http = DaemonHttp.start(settings, configuration::get, ports).block(PATIENCE);
   }
 
   /** Starts the path over upstreams that run the scripts. */
   static PathFixture start(ScriptedUpstream.Script... scripts) {
-    return start(DaemonHttp.Settings.defaults("127.0.0.1", 0), scripts);
+    return start(defaults(), scripts);
   }
 
   static PathFixture start(DaemonHttp.Settings settings, ScriptedUpstream.Script... scripts) {
+    return start(settings, new LocalRetryBudget(0.1, 100), scripts);
+  }
+
+  private static PathFixture start(
+      DaemonHttp.Settings settings, RetryBudget retries, ScriptedUpstream.Script... scripts) {
     List<ScriptedUpstream> upstreams = new ArrayList<>();
     for (ScriptedUpstream.Script script : scripts) {
       upstreams.add(new ScriptedUpstream(script));
     }
-    return new PathFixture(settings, upstreams);
+    return new PathFixture(settings, retries, upstreams);
+  }
+
+  static PathFixture startWithoutRetries(ScriptedUpstream.Script... scripts) {
+    return start(defaults(), new LocalRetryBudget(0, 0), scripts);
+  }
+
+  static DaemonHttp.Settings defaults() {
+    return DaemonHttp.Settings.defaults("127.0.0.1", 0);
   }
 
   static ConfigurationDocument document(
@@ -114,6 +126,13 @@
     }
   }
 
+  /** Puts a configuration in force in which the usual key is withdrawn. */
+  void withdrawKey() {
+    ConfigurationDocument old = configuration.get();
+    configuration.set(document(2, upstreams, true));
+    http.onConfiguration(old, configuration.get());
+  }
+
   ScriptedUpstream upstream(int index) {
     return upstreams.get(index);
   }
--- a/daemon/src/test/java/org/ragworttide/daemon/RawCaller.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/RawCaller.java
@@ -1,5 +1,6 @@
 package org.ragworttide.daemon;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -11,10 +12,12 @@
   private static final int READ_TIMEOUT_MILLIS = 20_000;
 
   private final Socket socket;
+  private final InputStream in;
 
   RawCaller(InetSocketAddress address) throws IOException {
     socket = new Socket("127.0.0.1", address.getPort());
     socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+    in = new BufferedInputStream(socket.getInputStream());
   }
 
   void post(String path, String body, String... headers) throws IOException {
@@ -33,8 +36,9 @@
   /** Reads up to and with the text, or to the end of the connection. */
   String readUntil(String text) throws IOException {
     StringBuilder read = new StringBuilder();
-    InputStream in = socket.getInputStream();
-    while (read.indexOf(text) < 0) {
+    int from = 0;
+    while (read.indexOf(text, from) < 0) {
+      from = Math.max(0, read.length() - text.length());
       int b = in.read();
       if (b < 0) {
         return read.append("<end>").toString();
--- a/daemon/src/test/java/org/ragworttide/daemon/ScriptedUpstream.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/ScriptedUpstream.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** An upstream on a loopback socket that answers every request by a script; for tests. */
@@ -22,6 +23,8 @@
   private final List<Received> received = new CopyOnWriteArrayList<>();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private final AtomicInteger hangUps = new AtomicInteger();
+  private final AtomicInteger firstBytes = new AtomicInteger();
+  private final AtomicBoolean resetOnFirstByte = new AtomicBoolean();
 
   ScriptedUpstream(Script script) {
     this.script = script;
@@ -53,6 +56,16 @@
     return sockets.size();
   }
 
+  /** From the next request on, resets the connection after the first byte. */
+  void resetOnFirstByte() {
+    resetOnFirstByte.set(true);
+  }
+
+  /** Returns how many requests were cut after the first byte. */
+  int firstBytes() {
+    return firstBytes.get();
+  }
+
   int hangUps() {
     return hangUps.get();
   }
@@ -80,7 +93,15 @@
   private void serve(Socket socket) {
     try (socket) {
       InputStream in = new BufferedInputStream(socket.getInputStream());
-      while (!socket.isClosed()) {
+      while (true) {
+        in.mark(1);
+        int first = in.read();
+        if (first >= 0 && resetOnFirstByte.get()) {
+          firstBytes.incrementAndGet();
+          socket.setSoLinger(true, 0);
+          return;
+        }
+        in.reset();
         Received request = read(in);
         if (request == null) {
           return;
