--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.ragworttide.coordination.Coordinator;
 import org.ragworttide.coordination.id.Incarnation;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.membership.VmEntry;
@@ -14,7 +15,6 @@
 import org.ragworttide.daemon.audit.AuditAction;
 import org.ragworttide.daemon.audit.AuditTrail;
 import org.ragworttide.daemon.audit.ConfigurationAudit;
-import org.ragworttide.daemon.decision.LocalClaims;
 import org.ragworttide.daemon.decision.LocalRetryBudget;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -24,6 +24,7 @@
 import org.ragworttide.daemon.platform.PlatformClient;
 import org.ragworttide.daemon.platform.PlatformFeed;
 import org.ragworttide.daemon.relay.RelayPorts;
+import org.ragworttide.document.ConfigurationDocument;
 import org.ragworttide.document.settings.DaemonSettings;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -36,6 +37,7 @@
 public final class Daemon {
   private static final double RETRY_SHARE = 0.1;
   private static final double RETRY_BURST = 10;
+  private static final long GIVE_BACK_MILLIS = 3_500;
 
   private final DaemonSettings settings;
   private final Incarnation incarnation = new Incarnation(ThreadLocalRandom.current().nextLong());
@@ -47,7 +49,7 @@
   private final AtomicBoolean draining = new AtomicBoolean();
   private final PeerNetwork peers;
   private final PlatformFacts facts;
-  private final ControlPlane plane;
+  private final Coordinator coordinator;
   private final PlatformFeed feed;
   private volatile DaemonHttp http;
 
@@ -56,11 +58,11 @@
     PeerIdentity self = new PeerIdentity(settings.fleet(), settings.vm(), incarnation);
     this.peers = new PeerNetwork(self, this::receive, this::address, metrics);
     this.facts = new PlatformFacts(loop, configuration, audit);
-    this.plane =
-        new ControlPlane(settings.vm(), incarnation, loop, peers, facts, RouterSettings.DEFAULTS);
+    this.coordinator =
+        new Coordinator(settings.vm(), incarnation, loop, peers, facts, RouterSettings.DEFAULTS);
     PlatformClient client = new PlatformClient(DaemonOptions.text(settings.platform().address()));
     this.feed = new PlatformFeed(client, facts);
-    facts.connect(plane, feed);
+    facts.connect(coordinator, feed);
   }
 
   /** Starts a daemon with the settings. */
@@ -77,7 +79,10 @@
     if (draining.compareAndSet(false, true)) {
       EventLog.log(LogEvent.DRAINING, actor);
       audit.record(AuditAction.DRAIN, actor, settings.vm().value(), "serving", "draining");
-      http.close().doFinally(signal -> loop.execute(this::stop)).subscribe();
+      http.drain()
+          .then(Mono.defer(http::close))
+          .doFinally(signal -> loop.execute(this::giveBack))
+          .subscribe();
     }
     return stopped.asMono();
   }
@@ -89,15 +94,16 @@
 
   private Mono<Daemon> open() {
     EventLog.log(LogEvent.STARTED, settings.vm(), settings.zone(), incarnation);
-    RouterPlacement placement = new RouterPlacement(loop, plane, configuration::current);
-    configuration.subscribe((old, now) -> plane.apply(now));
+    RouterPlacement placement = new RouterPlacement(loop, coordinator, configuration::current);
+    configuration.subscribe(this::apply);
     configuration.subscribe((old, now) -> placement.apply(now));
     configuration.subscribe(new ConfigurationAudit(audit)::changed);
     RelayPorts ports =
         new RelayPorts(
-            new FleetRateLimits(loop, plane),
-            new LocalClaims(),
-            new QuarantinedPlacement(loop, plane.quarantine(), facts.runs(), placement),
+            new FleetRateLimits(loop, coordinator),
+            new FleetClaims(loop, coordinator),
+            new QuarantinedPlacement(
+                loop, coordinator.quarantineCommands(), facts.runs(), placement),
             new LocalRetryBudget(RETRY_SHARE, RETRY_BURST));
     DaemonSettings.Address address = settings.peers().address();
     return peers
@@ -111,7 +117,7 @@
   private Mono<Void> serveOperators() {
     DaemonSettings.Address address = settings.operators().address();
     DaemonStatus status =
-        new DaemonStatus(settings, incarnation, plane, configuration, draining::get);
+        new DaemonStatus(settings, incarnation, coordinator, configuration, draining::get);
     loop.every(DaemonStatus.REFRESH_MILLIS, status::refresh);
     return new OperatorServer(new Operators(status, this::drain), metrics, audit)
         .bind(address.host(), address.port())
@@ -125,6 +131,17 @@
     return this;
   }
 
+  private void apply(Optional<ConfigurationDocument> old, ConfigurationDocument now) {
+    coordinator.configure(Policies.constants(now));
+    coordinator.apply(Policies.policy(now));
+  }
+
+  private void giveBack() {
+    coordinator.stop();
+    // What is given back leaves with the links' next writes and with the last permits' expiry.
+    loop.after(GIVE_BACK_MILLIS, this::stop);
+  }
+
   private void stop() {
     feed.dispose();
     peers.close();
@@ -134,11 +151,11 @@
   }
 
   private void receive(VmId from, Incarnation run, PeerMessage message) {
-    loop.execute(() -> plane.receive(from, message));
+    loop.execute(() -> coordinator.receive(from, message));
   }
 
   private Optional<String> address(VmId vm) {
-    return plane.membership().list().flatMap(list -> list.find(vm)).map(VmEntry::address);
+    return coordinator.membership().list().flatMap(list -> list.find(vm)).map(VmEntry::address);
   }
 
   private static void stopProcess(Throwable cause) {
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/DaemonStatus.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/DaemonStatus.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import org.ragworttide.coordination.Coordinator;
 import org.ragworttide.coordination.id.Incarnation;
 import org.ragworttide.coordination.membership.VmEntry;
 import org.ragworttide.coordination.membership.VmList;
@@ -23,7 +24,7 @@
 
   private final DaemonSettings settings;
   private final Incarnation incarnation;
-  private final ControlPlane plane;
+  private final Coordinator coordinator;
   private final ConfigurationHolder configuration;
   private final BooleanSupplier draining;
   private volatile Map<String, Object> sections = Map.of();
@@ -32,12 +33,12 @@
   DaemonStatus(
       DaemonSettings settings,
       Incarnation incarnation,
-      ControlPlane plane,
+      Coordinator coordinator,
       ConfigurationHolder configuration,
       BooleanSupplier draining) {
     this.settings = settings;
     this.incarnation = incarnation;
-    this.plane = plane;
+    this.coordinator = coordinator;
     this.configuration = configuration;
     this.draining = draining;
   }
@@ -52,7 +53,7 @@
 
   void refresh() {
     ConfigurationDocument document = configuration.current();
-    boolean ready = document != null && plane.versions().isReady();
+    boolean ready = document != null && coordinator.versions().isReady();
     if (ready && !converged) {
       EventLog.log(LogEvent.READY, document.version());
     }
@@ -65,10 +66,14 @@
     next.put("ready", isReady());
     next.put("draining", draining.getAsBoolean());
     next.put("configurationVersion", document == null ? 0 : document.version());
-    next.put("configurationReader", plane.versions().isReader());
-    next.put("vmListVersion", plane.membership().list().map(VmList::version).orElse(0L));
-    next.put("vms", plane.membership().list().map(this::vms).orElse(List.of()));
-    next.put("quarantined", plane.quarantine().size());
+    next.put("configurationReader", coordinator.versions().isReader());
+    next.put("vmListVersion", coordinator.membership().list().map(VmList::version).orElse(0L));
+    next.put("vms", coordinator.membership().list().map(this::vms).orElse(List.of()));
+    next.put("quarantined", coordinator.quarantine().size());
+    if (coordinator.isConfigured()) {
+      next.put("leases", coordinator.leases().owned().size());
+      next.put("claims", coordinator.claims().claimsKept());
+    }
     sections = next;
   }
 
@@ -82,10 +87,10 @@
     vm.put("zone", entry.zone().value());
     vm.put("state", entry.state().name());
     vm.put("address", entry.address());
-    vm.put("suspected", plane.membership().isSuspected(entry.id()));
+    vm.put("suspected", coordinator.membership().isSuspected(entry.id()));
     vm.put(
         "incarnation",
-        plane.membership().incarnationOf(entry.id()).map(Incarnation::toString).orElse(""));
+        coordinator.membership().incarnationOf(entry.id()).map(Incarnation::toString).orElse(""));
     return vm;
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/FleetClaims.java
@@ -0,0 +1,114 @@
+package org.ragworttide.daemon.runtime;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Base64;
+import org.ragworttide.coordination.Coordinator;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.id.RequestKey;
+import org.ragworttide.daemon.decision.ClaimDecision;
+import org.ragworttide.daemon.decision.ClaimHandle;
+import org.ragworttide.daemon.decision.Claims;
+import reactor.core.publisher.Mono;
+
+/**
+ * Grants non-idempotent requests by the fleet-wide claims.
+ *
+ * <p>Invariant: the claims are touched on the coordination thread only. Safe for use by any thread.
+ */
+final class FleetClaims implements Claims {
+  private static final Duration POLL_PERIOD = Duration.ofMillis(100);
+  private static final long MAX_WAIT_MILLIS = 5_000;
+  private static final int KEY_BYTES = 18;
+
+  private final CoordinationLoop loop;
+  private final Coordinator coordinator;
+
+  FleetClaims(CoordinationLoop loop, Coordinator coordinator) {
+    this.loop = loop;
+    this.coordinator = coordinator;
+  }
+
+  @Override
+  public Mono<ClaimDecision> claim(OrganisationId organisation, RequestKey key) {
+    return Mono.defer(() -> claim(fleetKey(organisation, key), loop.nowMillis()));
+  }
+
+  private Mono<ClaimDecision> claim(RequestKey key, long sinceMillis) {
+    return loop.<org.ragworttide.coordination.claims.ClaimDecision>call(
+            answer -> coordinator.claimCommands().claim(key, answer))
+        .flatMap(decision -> translate(decision, key, sinceMillis));
+  }
+
+  private Mono<ClaimDecision> translate(
+      org.ragworttide.coordination.claims.ClaimDecision decision,
+      RequestKey key,
+      long sinceMillis) {
+    return switch (decision) {
+      case org.ragworttide.coordination.claims.ClaimDecision.Granted granted ->
+          Mono.just(new ClaimDecision.Granted(new Handle(key)));
+      case org.ragworttide.coordination.claims.ClaimDecision.Running running ->
+          waitForFirst(key, sinceMillis);
+      case org.ragworttide.coordination.claims.ClaimDecision.Completed completed ->
+          Mono.just(HeldAnswer.decode(completed.answer()));
+      case org.ragworttide.coordination.claims.ClaimDecision.MayHaveRun mayHaveRun ->
+          Mono.just(new ClaimDecision.MayHaveRun());
+      case org.ragworttide.coordination.claims.ClaimDecision.NotRun notRun ->
+          Mono.just(new ClaimDecision.NotRun(notRun.reason().name()));
+    };
+  }
+
+  private Mono<ClaimDecision> waitForFirst(RequestKey key, long sinceMillis) {
+    if (loop.nowMillis() - sinceMillis >= MAX_WAIT_MILLIS) {
+      return Mono.just(new ClaimDecision.FirstRunning());
+    }
+    return Mono.delay(POLL_PERIOD).then(Mono.defer(() -> claim(key, sinceMillis)));
+  }
+
+  /** Returns a short key that is the same on every daemon and tells nothing of the caller's. */
+  private static RequestKey fleetKey(OrganisationId organisation, RequestKey key) {
+    byte[] text = (organisation + "\n" + key).getBytes(StandardCharsets.UTF_8);
+    byte[] digest = Arrays.copyOf(sha256().digest(text), KEY_BYTES);
+    return new RequestKey(Base64.getUrlEncoder().withoutPadding().encodeToString(digest));
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java runtime has SHA-256", e);
+    }
+  }
+
+  /** Reports the end of one granted run; safe for use by any thread. */
+  private final class Handle implements ClaimHandle {
+    private final RequestKey key;
+
+    private Handle(RequestKey key) {
+      this.key = key;
+    }
+
+    @Override
+    public void completed(int status, String contentType, byte[] body) {
+      loop.execute(
+          () ->
+              HeldAnswer.encode(status, contentType, body)
+                  .ifPresentOrElse(
+                      answer -> coordinator.claimCommands().completed(key, answer),
+                      () -> coordinator.claimCommands().mayHaveRun(key)));
+    }
+
+    @Override
+    public void notRun() {
+      loop.execute(() -> coordinator.claimCommands().notRun(key));
+    }
+
+    @Override
+    public void mayHaveRun() {
+      loop.execute(() -> coordinator.claimCommands().mayHaveRun(key));
+    }
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/FleetRateLimits.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/FleetRateLimits.java
@@ -1,5 +1,6 @@
 package org.ragworttide.daemon.runtime;
 
+import org.ragworttide.coordination.Coordinator;
 import org.ragworttide.coordination.id.OrganisationId;
 import org.ragworttide.coordination.limits.LimitDecision;
 import org.ragworttide.coordination.limits.RefusalReason;
@@ -15,17 +16,17 @@
  */
 final class FleetRateLimits implements RateLimits {
   private final CoordinationLoop loop;
-  private final ControlPlane plane;
+  private final Coordinator coordinator;
 
-  FleetRateLimits(CoordinationLoop loop, ControlPlane plane) {
+  FleetRateLimits(CoordinationLoop loop, Coordinator coordinator) {
     this.loop = loop;
-    this.plane = plane;
+    this.coordinator = coordinator;
   }
 
   @Override
   public Mono<RateDecision> acquire(OrganisationId organisation, RequestId request) {
     return loop.<LimitDecision>call(
-            answer -> plane.limits().acquire(organisation, request.value(), answer))
+            answer -> coordinator.limitCommands().acquire(organisation, request.value(), answer))
         .map(FleetRateLimits::translate);
   }
 
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/PlatformFacts.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/PlatformFacts.java
@@ -1,6 +1,8 @@
 package org.ragworttide.daemon.runtime;
 
+import java.util.List;
 import java.util.Optional;
+import org.ragworttide.coordination.Coordinator;
 import org.ragworttide.coordination.membership.VmList;
 import org.ragworttide.coordination.routing.LoadReport;
 import org.ragworttide.coordination.versions.VersionHost;
@@ -13,6 +15,7 @@
 import org.ragworttide.document.ConfigurationDocument;
 import org.ragworttide.document.DocumentReader;
 import org.ragworttide.document.DocumentResult;
+import org.ragworttide.document.Fault;
 
 /**
  * Carries what the platform publishes into coordination, and documents in force into the daemon.
@@ -25,7 +28,7 @@
   private final ConfigurationHolder configuration;
   private final AuditTrail audit;
   private final UpstreamRuns runs = new UpstreamRuns();
-  private ControlPlane plane;
+  private Coordinator coordinator;
   private PlatformFeed feed;
   private ConfigurationDocument accepted;
   private volatile boolean reader;
@@ -37,8 +40,8 @@
     this.audit = audit;
   }
 
-  void connect(ControlPlane plane, PlatformFeed feed) {
-    this.plane = plane;
+  void connect(Coordinator coordinator, PlatformFeed feed) {
+    this.coordinator = coordinator;
     this.feed = feed;
   }
 
@@ -48,23 +51,23 @@
 
   /** Returns whether this daemon is to watch the configuration; asked by the feed. */
   boolean isReader() {
-    loop.execute(() -> reader = plane.versions().isReader());
+    loop.execute(() -> reader = coordinator.versions().isReader());
     return reader;
   }
 
   @Override
   public void configuration(long version, byte[] body) {
-    loop.execute(() -> plane.offer(version, body));
+    loop.execute(() -> coordinator.versionCommands().offer(version, body));
   }
 
   @Override
   public void configurationUnavailable() {
-    loop.execute(() -> plane.versions().platformUnavailable());
+    loop.execute(() -> coordinator.versionCommands().platformUnavailable());
   }
 
   @Override
   public void vms(VmList list) {
-    loop.execute(() -> plane.offer(list));
+    loop.execute(() -> coordinator.offer(list));
   }
 
   @Override
@@ -75,23 +78,40 @@
   @Override
   public boolean accepts(long version, byte[] document) {
     return switch (DocumentReader.read(document)) {
-      case DocumentResult.Accepted read -> {
-        accepted = read.document();
-        yield accepted.version() == version;
-      }
+      case DocumentResult.Accepted read -> accepts(version, read.document());
       case DocumentResult.Refused refused -> {
-        EventLog.log(LogEvent.CONFIGURATION_REFUSED, version, refused.faults());
-        audit.record(
-            AuditAction.CONFIGURATION_REFUSED,
-            "platform",
-            "fleet",
-            Long.toString(version),
-            refused.faults().getFirst().toString());
+        refuse(version, refused.faults());
         yield false;
       }
     };
   }
 
+  private boolean accepts(long version, ConfigurationDocument document) {
+    if (document.version() != version) {
+      return false;
+    }
+    ConfigurationDocument current = configuration.current();
+    boolean sameConstants =
+        current == null || Policies.constants(current).equals(Policies.constants(document));
+    if (!sameConstants) {
+      String message = "maxEntryVms and claimRetentionSeconds change only with the fleet's name";
+      refuse(version, List.of(new Fault("/fleet", message)));
+      return false;
+    }
+    accepted = document;
+    return true;
+  }
+
+  private void refuse(long version, List<Fault> faults) {
+    EventLog.log(LogEvent.CONFIGURATION_REFUSED, version, faults);
+    audit.record(
+        AuditAction.CONFIGURATION_REFUSED,
+        "platform",
+        "fleet",
+        Long.toString(version),
+        faults.getFirst().toString());
+  }
+
   @Override
   public void inForce(long version, byte[] document) {
     Optional<Long> before =
@@ -112,7 +132,7 @@
     clockOffsetMillis = Math.min(clockOffsetMillis, loop.nowMillis() - report.atMillis());
     long measuredAtMillis = report.atMillis() + clockOffsetMillis;
     runs.reported(report.upstream(), report.incarnation());
-    plane.load(
+    coordinator.load(
         new LoadReport(
             report.upstream(),
             report.incarnation(),
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Policies.java
@@ -0,0 +1,65 @@
+package org.ragworttide.daemon.runtime;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.ragworttide.coordination.FleetConstants;
+import org.ragworttide.coordination.FleetPolicy;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.id.ZoneId;
+import org.ragworttide.coordination.limits.RateLimit;
+import org.ragworttide.coordination.routing.ZoneState;
+import org.ragworttide.document.ConfigurationDocument;
+import org.ragworttide.document.ConfigurationDocument.Organisation;
+import org.ragworttide.document.ConfigurationDocument.Service;
+import org.ragworttide.document.ConfigurationDocument.Upstream;
+import org.ragworttide.document.ConfigurationDocument.UpstreamKind;
+import org.ragworttide.document.ConfigurationDocument.Zone;
+
+/** Turns a configuration document into what coordination needs of it; stateless. */
+final class Policies {
+
+  private Policies() {}
+
+  static FleetConstants constants(ConfigurationDocument document) {
+    long retentionSeconds = document.fleet().claimRetentionSeconds();
+    return new FleetConstants(
+        document.fleet().maxEntryVms(), TimeUnit.SECONDS.toMillis(retentionSeconds));
+  }
+
+  static FleetPolicy policy(ConfigurationDocument document) {
+    return new FleetPolicy(
+        rates(document), coldLimits(document), UpstreamSpecs.of(document), zones(document));
+  }
+
+  private static Map<OrganisationId, RateLimit> rates(ConfigurationDocument document) {
+    Map<OrganisationId, RateLimit> rates = new HashMap<>();
+    for (Organisation organisation : document.organisations()) {
+      rates.put(
+          new OrganisationId(organisation.id()),
+          new RateLimit(organisation.ratePerSecond(), organisation.burst()));
+    }
+    return rates;
+  }
+
+  private static Map<UpstreamId, Integer> coldLimits(ConfigurationDocument document) {
+    Map<UpstreamId, Integer> limits = new HashMap<>();
+    for (Upstream upstream : document.upstreams()) {
+      // Plain services publish no load, without which warmth can't be told.
+      if (upstream.kind() == UpstreamKind.ENGINE) {
+        limits.put(new UpstreamId(upstream.id()), upstream.coldConcurrency());
+      }
+    }
+    return limits;
+  }
+
+  private static Map<ZoneId, ZoneState> zones(ConfigurationDocument document) {
+    Map<ZoneId, ZoneState> states = new HashMap<>();
+    for (Zone zone : document.zones()) {
+      states.put(
+          new ZoneId(zone.id()), zone.service() == Service.IN ? ZoneState.IN : ZoneState.OUT);
+    }
+    return states;
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/QuarantinedPlacement.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/QuarantinedPlacement.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import org.ragworttide.coordination.id.Fingerprint;
 import org.ragworttide.coordination.id.UpstreamId;
-import org.ragworttide.coordination.quarantine.Quarantine;
+import org.ragworttide.coordination.quarantine.QuarantineCommands;
 import org.ragworttide.coordination.quarantine.QuarantineDecision;
 import org.ragworttide.daemon.decision.AttemptOutcome;
 import org.ragworttide.daemon.decision.Placement;
@@ -23,12 +23,15 @@
   private static final int HEX_CHARS_A_LONG = 16;
 
   private final CoordinationLoop loop;
-  private final Quarantine quarantine;
+  private final QuarantineCommands quarantine;
   private final UpstreamRuns runs;
   private final Placement placement;
 
   QuarantinedPlacement(
-      CoordinationLoop loop, Quarantine quarantine, UpstreamRuns runs, Placement placement) {
+      CoordinationLoop loop,
+      QuarantineCommands quarantine,
+      UpstreamRuns runs,
+      Placement placement) {
     this.loop = loop;
     this.quarantine = quarantine;
     this.runs = runs;
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/RouterPlacement.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/RouterPlacement.java
@@ -5,27 +5,23 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.ragworttide.coordination.admission.ColdAdmission;
+import org.ragworttide.coordination.Coordinator;
 import org.ragworttide.coordination.id.ChatId;
 import org.ragworttide.coordination.id.ModelId;
 import org.ragworttide.coordination.id.OrganisationId;
 import org.ragworttide.coordination.id.UpstreamId;
-import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.routing.RefusalReason;
 import org.ragworttide.coordination.routing.RouteRequest;
 import org.ragworttide.coordination.routing.RouteResult;
 import org.ragworttide.coordination.routing.Router;
 import org.ragworttide.coordination.routing.Slot;
-import org.ragworttide.coordination.routing.ZoneState;
 import org.ragworttide.daemon.decision.AttemptOutcome;
 import org.ragworttide.daemon.decision.Placement;
 import org.ragworttide.daemon.decision.PlacementDecision;
 import org.ragworttide.daemon.decision.PlacementRefusal;
 import org.ragworttide.daemon.decision.PlacementRequest;
 import org.ragworttide.document.ConfigurationDocument;
-import org.ragworttide.document.ConfigurationDocument.Service;
 import org.ragworttide.document.ConfigurationDocument.Upstream;
-import org.ragworttide.document.ConfigurationDocument.Zone;
 import reactor.core.publisher.Mono;
 
 /**
@@ -41,15 +37,17 @@
 
   private final CoordinationLoop loop;
   private final Router router;
-  private final ColdAdmission cold;
+  private final Coordinator coordinator;
   private final Supplier<ConfigurationDocument> configuration;
   private Map<UpstreamId, InetSocketAddress> addresses = Map.of();
 
   RouterPlacement(
-      CoordinationLoop loop, ControlPlane plane, Supplier<ConfigurationDocument> configuration) {
+      CoordinationLoop loop,
+      Coordinator coordinator,
+      Supplier<ConfigurationDocument> configuration) {
     this.loop = loop;
-    this.router = plane.router();
-    this.cold = plane.coldAdmission();
+    this.router = coordinator.router();
+    this.coordinator = coordinator;
     this.configuration = configuration;
   }
 
@@ -59,8 +57,6 @@
       next.put(new UpstreamId(upstream.id()), address(upstream.address()));
     }
     addresses = next;
-    router.facts().upstreams(UpstreamSpecs.of(document));
-    router.facts().zones(zones(document));
   }
 
   @Override
@@ -89,15 +85,6 @@
     return passing && !waitedLong && request.deadline().remainingMillis() > MAX_WAIT_MILLIS;
   }
 
-  private static Map<ZoneId, ZoneState> zones(ConfigurationDocument document) {
-    Map<ZoneId, ZoneState> states = new HashMap<>();
-    for (Zone zone : document.zones()) {
-      states.put(
-          new ZoneId(zone.id()), zone.service() == Service.IN ? ZoneState.IN : ZoneState.OUT);
-    }
-    return states;
-  }
-
   private PlacementDecision decide(PlacementRequest request) {
     ModelId model = UpstreamSpecs.model(configuration.get(), request.target());
     // A request outside any chat keeps its place on a retry by its content.
@@ -122,10 +109,10 @@
   private void release(Slot slot, AttemptOutcome outcome) {
     switch (outcome) {
       case AttemptOutcome.Answered answered ->
-          cold.answered(slot.upstream(), answered.firstByteMillis());
-      case AttemptOutcome.Unreachable unreachable -> cold.failed(slot.upstream());
-      case AttemptOutcome.Lost lost -> cold.failed(slot.upstream());
-      case AttemptOutcome.Stalled stalled -> cold.failed(slot.upstream());
+          coordinator.answered(slot.upstream(), answered.firstByteMillis());
+      case AttemptOutcome.Unreachable unreachable -> coordinator.failed(slot.upstream());
+      case AttemptOutcome.Lost lost -> coordinator.failed(slot.upstream());
+      case AttemptOutcome.Stalled stalled -> coordinator.failed(slot.upstream());
       case AttemptOutcome.Cancelled cancelled -> {}
     }
     slot.release();
