--- a/coordination/src/main/java/org/ragworttide/coordination/LeaseOwners.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/LeaseOwners.java
@@ -30,7 +30,7 @@
     Shard shard = Shard.of(resource);
     return leases.isOwner(shard)
         ? Optional.of(
-            new Ownership(leases.heldSinceMillis(shard), leases.leaseExpiresAtMillis(shard)))
+            new Ownership(leases.ownedSinceMillis(shard), leases.leaseExpiresAtMillis(shard)))
         : Optional.empty();
   }
 
--- a/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
@@ -33,7 +33,7 @@
   private final LeaseUse use;
   private final Map<Long, Round> rounds = new TreeMap<>();
   private final Map<Integer, Long> expiresAtMillis = new TreeMap<>();
-  private final Map<Integer, Long> heldSinceMillis = new HashMap<>();
+  private final Map<Integer, Long> ownedSinceMillis = new HashMap<>();
   private final Map<Integer, Retired> retired = new TreeMap<>();
   private final Map<Integer, Long> campaigningSinceMillis = new HashMap<>();
   private final Map<Integer, Long> campaignNotBeforeMillis = new HashMap<>();
@@ -154,7 +154,7 @@
     long expires = round.sentAtMillis() + settings.leaseMillis();
     if (round.count(shard, from) >= settings.size().quorum() && timers.nowMillis() < expires) {
       if (!isOwner(shard)) {
-        heldSinceMillis.put(shard, timers.nowMillis());
+        ownedSinceMillis.put(shard, timers.nowMillis());
       }
       expiresAtMillis.merge(shard, expires, Math::max);
       campaigningSinceMillis.remove(shard);
@@ -187,7 +187,7 @@
     long expires = expiresAtMillis(shard.number());
     long unusedFrom = Math.min(expires, use.unusedFromMillis(shard));
     expiresAtMillis.remove(shard.number());
-    heldSinceMillis.remove(shard.number());
+    ownedSinceMillis.remove(shard.number());
     retired.put(shard.number(), new Retired(unusedFrom, expires));
   }
 
@@ -209,7 +209,7 @@
     for (int shard : shards) {
       rounds.values().forEach(round -> round.remove(shard));
       expiresAtMillis.remove(shard);
-      heldSinceMillis.remove(shard);
+      ownedSinceMillis.remove(shard);
       campaigningSinceMillis.remove(shard);
     }
     votes.release(groups, attempts.last(), shards);
@@ -221,9 +221,9 @@
   }
 
   /** Returns since when the shard has been owned without a break, or the present time. */
-  long heldSinceMillis(int shard) {
+  long ownedSinceMillis(int shard) {
     long now = timers.nowMillis();
-    return isOwner(shard) ? heldSinceMillis.getOrDefault(shard, now) : now;
+    return isOwner(shard) ? ownedSinceMillis.getOrDefault(shard, now) : now;
   }
 
   long expiresAtMillis(int shard) {
--- a/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseManager.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseManager.java
@@ -143,8 +143,8 @@
   }
 
   @Override
-  public long heldSinceMillis(Shard shard) {
-    return campaign.heldSinceMillis(shard.number());
+  public long ownedSinceMillis(Shard shard) {
+    return campaign.ownedSinceMillis(shard.number());
   }
 
   @Override
--- a/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseQueries.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseQueries.java
@@ -20,7 +20,7 @@
   long leaseExpiresAtMillis(Shard shard);
 
   /** Returns since when this VM has owned the shard without a break, or the present time. */
-  long heldSinceMillis(Shard shard);
+  long ownedSinceMillis(Shard shard);
 
   /**
    * Returns whom to ask for the shard: the owner if this VM knows it, else the preferred owner; a
