--- a/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
@@ -32,6 +32,7 @@
   private final VotePort votes;
   private final Map<Long, Round> rounds = new TreeMap<>();
   private final Map<Integer, Long> expiresAtMillis = new TreeMap<>();
+  private final Map<Integer, Long> ownedSinceMillis = new HashMap<>();
   private final Map<Integer, Long> campaigningSinceMillis = new HashMap<>();
   private final Map<Integer, Long> campaignNotBeforeMillis = new HashMap<>();
   private boolean stopped;
@@ -144,6 +145,9 @@
   private void count(Round round, int shard, VmId from) {
     long expires = round.sentAtMillis() + settings.leaseMillis();
     if (round.count(shard, from) >= settings.size().quorum() && timers.nowMillis() < expires) {
+      if (!isOwner(shard)) {
+        ownedSinceMillis.put(shard, timers.nowMillis());
+      }
       expiresAtMillis.merge(shard, expires, Math::max);
       campaigningSinceMillis.remove(shard);
       campaignNotBeforeMillis.remove(shard);
@@ -193,6 +197,10 @@
     return Math.max(now, expiresAtMillis.getOrDefault(shard, now));
   }
 
+  long ownedSinceMillis(int shard) {
+    return isOwner(shard) ? ownedSinceMillis.get(shard) : timers.nowMillis();
+  }
+
   List<Shard> owned() {
     return expiresAtMillis.keySet().stream().filter(this::isOwner).map(Shard::new).toList();
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseManager.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseManager.java
@@ -131,6 +131,11 @@
     return campaign.expiresAtMillis(shard.number());
   }
 
+  @Override
+  public long ownedSinceMillis(Shard shard) {
+    return campaign.ownedSinceMillis(shard.number());
+  }
+
   @Override
   public Optional<VmId> ownerOf(Shard shard) {
     Optional<VmId> voted = voter.votedFor(shard, NO_KEY);
--- /dev/null
+++ b/protocol/src/main/java/org/ragworttide/protocol/LeaseCodec.java
@@ -0,0 +1,86 @@
+package org.ragworttide.protocol;
+
+import java.util.Optional;
+import org.ragworttide.coordination.id.Incarnation;
+import org.ragworttide.coordination.message.LeaseMessage;
+import org.ragworttide.protocol.wire.LeaseEnvelope;
+import org.ragworttide.protocol.wire.LeaseRelease;
+import org.ragworttide.protocol.wire.LeaseVoteAnswer;
+import org.ragworttide.protocol.wire.LeaseVoteRequest;
+
+/**
+ * Translates the messages of the majority lease.
+ *
+ * <p>Invariant: what a peer sends is decoded only if all its fields make sense. Stateless, safe for
+ * use by any thread.
+ */
+public final class LeaseCodec {
+
+  private LeaseCodec() {}
+
+  /** Returns the message in its form for the wire. */
+  public static LeaseEnvelope encode(LeaseMessage message) {
+    LeaseEnvelope.Builder envelope = LeaseEnvelope.newBuilder();
+    switch (message) {
+      case LeaseMessage.VoteRequest request ->
+          envelope.setVoteRequest(
+              LeaseVoteRequest.newBuilder()
+                  .setVersion(request.version())
+                  .setAttempt(request.attempt())
+                  .setIncarnation(request.incarnation().value())
+                  .addAllShards(request.shards()));
+      case LeaseMessage.VoteAnswer answer ->
+          envelope.setVoteAnswer(
+              LeaseVoteAnswer.newBuilder()
+                  .setVersion(answer.version())
+                  .setAttempt(answer.attempt())
+                  .addAllGranted(answer.granted()));
+      case LeaseMessage.Release release ->
+          envelope.setRelease(
+              LeaseRelease.newBuilder()
+                  .setAttempt(release.attempt())
+                  .setIncarnation(release.incarnation().value())
+                  .addAllShards(release.shards()));
+    }
+    return envelope.build();
+  }
+
+  /** Returns the message, or nothing if it is incomplete or absurd. */
+  public static Optional<LeaseMessage> decode(LeaseEnvelope envelope) {
+    return switch (envelope.getMessageCase()) {
+      case VOTE_REQUEST -> fromWire(envelope.getVoteRequest());
+      case VOTE_ANSWER -> fromWire(envelope.getVoteAnswer());
+      case RELEASE -> fromWire(envelope.getRelease());
+      case MESSAGE_NOT_SET -> Optional.empty();
+    };
+  }
+
+  private static Optional<LeaseMessage> fromWire(LeaseVoteRequest wire) {
+    if (wire.getVersion() <= 0 || !WireChecks.areShards(wire.getShardsList())) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new LeaseMessage.VoteRequest(
+            wire.getVersion(),
+            wire.getAttempt(),
+            new Incarnation(wire.getIncarnation()),
+            wire.getShardsList()));
+  }
+
+  private static Optional<LeaseMessage> fromWire(LeaseVoteAnswer wire) {
+    if (wire.getVersion() <= 0 || !WireChecks.areShards(wire.getGrantedList())) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new LeaseMessage.VoteAnswer(wire.getVersion(), wire.getAttempt(), wire.getGrantedList()));
+  }
+
+  private static Optional<LeaseMessage> fromWire(LeaseRelease wire) {
+    if (!WireChecks.areShards(wire.getShardsList())) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new LeaseMessage.Release(
+            wire.getAttempt(), new Incarnation(wire.getIncarnation()), wire.getShardsList()));
+  }
+}
--- a/protocol/src/main/java/org/ragworttide/protocol/WireChecks.java
+++ b/protocol/src/main/java/org/ragworttide/protocol/WireChecks.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import org.ragworttide.coordination.group.Shard;
 
 /** Checks of fields that came from a peer; stateless, safe for use by any thread. */
 final class WireChecks {
@@ -14,6 +15,11 @@
     return !text.isBlank() && text.length() <= MAX_ID_CHARS;
   }
 
+  /** Tells whether all are numbers of shards and not more than there are. */
+  static boolean areShards(List<Integer> numbers) {
+    return numbers.size() <= Shard.COUNT && numbers.stream().allMatch(Shard::isNumber);
+  }
+
   /** Decodes each element; empty if there are too many or one cannot be decoded. */
   static <W, M> Optional<List<M>> all(List<W> wires, int max, Function<W, Optional<M>> decode) {
     if (wires.size() > max) {
