--- a/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
@@ -220,17 +220,15 @@
     return expires != null && timers.nowMillis() < expires;
   }
 
-  /** Returns since when the shard has been owned without a break, or the present time. */
-  long ownedSinceMillis(int shard) {
-    long now = timers.nowMillis();
-    return isOwner(shard) ? ownedSinceMillis.getOrDefault(shard, now) : now;
-  }
-
   long expiresAtMillis(int shard) {
     long now = timers.nowMillis();
     return Math.max(now, expiresAtMillis.getOrDefault(shard, now));
   }
 
+  long ownedSinceMillis(int shard) {
+    return isOwner(shard) ? ownedSinceMillis.get(shard) : timers.nowMillis();
+  }
+
   List<Shard> owned() {
     return expiresAtMillis.keySet().stream().filter(this::isOwner).map(Shard::new).toList();
   }
