Wait for the permit of a chat's own engine instead of sending the chat elsewhere

Cause: a daemon's first request to an engine was refused while the owner was being asked, and the router went on to the next engine, which knew nothing of the chat.

--- a/coordination/src/main/java/org/ragworttide/coordination/Coordinator.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/Coordinator.java
@@ -278,6 +278,11 @@
       return cold().map(gate -> gate.tryEnter(upstream)).orElse(false);
     }
 
+    @Override
+    public boolean isDeciding(UpstreamId upstream) {
+      return cold().map(gate -> gate.isDeciding(upstream)).orElse(true);
+    }
+
     @Override
     public void leave(UpstreamId upstream) {
       cold().ifPresent(gate -> gate.leave(upstream));
--- a/coordination/src/main/java/org/ragworttide/coordination/admission/ColdAdmission.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/ColdAdmission.java
@@ -114,6 +114,12 @@
     return false;
   }
 
+  @Override
+  public boolean isDeciding(UpstreamId upstream) {
+    PermitPool pool = pools.get(upstream);
+    return pool != null && pool.isDeciding(time.nowMillis());
+  }
+
   @Override
   public void leave(UpstreamId upstream) {
     PermitPool pool = pools.get(upstream);
@@ -182,6 +188,9 @@
     PermitPool pool = pools.get(grant.upstream());
     boolean mine = grant.asker() == asker && pool != null;
     if (mine && pool.closeQuestion(grant.number())) {
+      if (grant.permits() == 0) {
+        pool.refused(time.nowMillis());
+      }
       List<Long> older = pool.grant(grant, settings.clockRateTolerance());
       if (!older.isEmpty()) {
         tell(grant.upstream(), pool, 0, 0, 0, older);
--- a/coordination/src/main/java/org/ragworttide/coordination/admission/PermitPool.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/PermitPool.java
@@ -14,6 +14,7 @@
  */
 final class PermitPool {
   private static final long NO_QUESTION = 0;
+  private static final long REFUSAL_COUNTS_MILLIS = 1_000;
 
   private final Deque<Long> unused = new ArrayDeque<>();
   private final Deque<Long> running = new ArrayDeque<>();
@@ -21,6 +22,7 @@
   private long question = NO_QUESTION;
   private long abandonedFrom = NO_QUESTION;
   private long askedAtMillis;
+  private long refusedAtMillis = Long.MIN_VALUE;
   private boolean warm;
   private long incarnation;
   private int warmRunning;
@@ -97,6 +99,18 @@
     return open;
   }
 
+  /** Tells whether an answer is awaited that may well be a permit. */
+  boolean isDeciding(long nowMillis) {
+    boolean refusedLately =
+        refusedAtMillis != Long.MIN_VALUE && nowMillis - refusedAtMillis < REFUSAL_COUNTS_MILLIS;
+    return question != NO_QUESTION && !refusedLately;
+  }
+
+  /** Notes that the owner had no permit left. */
+  void refused(long nowMillis) {
+    refusedAtMillis = nowMillis;
+  }
+
   /** Takes permits over, counted from when the question was sent, and returns the older ones. */
   List<Long> grant(Grant grant, double clockRateTolerance) {
     final List<Long> older = List.copyOf(unused);
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/CombinedGate.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/CombinedGate.java
@@ -27,6 +27,11 @@
     return true;
   }
 
+  @Override
+  public boolean isDeciding(UpstreamId upstream) {
+    return gates.stream().anyMatch(gate -> gate.isDeciding(upstream));
+  }
+
   @Override
   public void leave(UpstreamId upstream) {
     leaveFirst(gates.size(), upstream);
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/RefusalReason.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/RefusalReason.java
@@ -10,6 +10,8 @@
   ALL_TRIED,
   /** All upstreams left are cold, broken or otherwise held back. */
   HELD_BACK,
+  /** The chat's upstream may have a place; its owner is being asked. */
+  AWAITING_PERMIT,
   /** All upstreams left are at their limit of concurrent requests. */
   OVERLOADED
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/Router.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/Router.java
@@ -1,5 +1,6 @@
 package org.ragworttide.coordination.routing;
 
+import java.util.Optional;
 import org.ragworttide.coordination.hash.Rendezvous;
 import org.ragworttide.coordination.time.TimerService;
 
@@ -58,10 +59,10 @@
     for (int i = 0; i < passOver; i++) {
       set.next();
     }
-    if (slot == null) {
-      slot = takeInOrder(set, key, now);
+    if (slot != null) {
+      return new RouteResult.Chosen(slot);
     }
-    return slot == null ? takeLeastLoaded(set, key, request, now) : new RouteResult.Chosen(slot);
+    return takeInOrder(set, key, now).orElseGet(() -> takeLeastLoaded(set, key, request, now));
   }
 
   private Slot takeHinted(CandidateSet set, long key, long now) {
@@ -76,20 +77,23 @@
     return set.accepts(index, key, state.fleet()) ? take(set, index, key, now) : null;
   }
 
-  private Slot takeInOrder(CandidateSet set, long key, long now) {
+  private Optional<RouteResult> takeInOrder(CandidateSet set, long key, long now) {
     for (int step = 0; step < settings.walkLength(); step++) {
       int index = set.next();
       if (index < 0) {
-        return null;
+        return Optional.empty();
       }
       if (set.accepts(index, key, state.fleet())) {
         Slot slot = take(set, index, key, now);
         if (slot != null) {
-          return slot;
+          return Optional.of(new RouteResult.Chosen(slot));
+        }
+        if (gate.isDeciding(set.tracker(index).spec().id())) {
+          return Optional.of(refused(RefusalReason.AWAITING_PERMIT));
         }
       }
     }
-    return null;
+    return Optional.empty();
   }
 
   private RouteResult takeLeastLoaded(CandidateSet set, long key, RouteRequest request, long now) {
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamGate.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamGate.java
@@ -20,6 +20,14 @@
   /** Gives the place at the upstream back. */
   void leave(UpstreamId upstream);
 
+  /**
+   * Tells whether it is being asked elsewhere if the upstream has a place, so that waiting for the
+   * answer beats another upstream that knows nothing of the chat.
+   */
+  default boolean isDeciding(UpstreamId upstream) {
+    return false;
+  }
+
   /** Returns a gate that admits what all the given gates admit. */
   static UpstreamGate all(List<? extends UpstreamGate> gates) {
     return new CombinedGate(gates);
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/RouterPlacement.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/RouterPlacement.java
@@ -123,7 +123,7 @@
       case NO_UPSTREAM -> PlacementRefusal.UNKNOWN_MODEL;
       case OUT_OF_SERVICE, ALL_TRIED -> PlacementRefusal.NO_UPSTREAM;
       case OVERLOADED -> PlacementRefusal.OVERLOADED;
-      case HELD_BACK -> PlacementRefusal.COLD;
+      case HELD_BACK, AWAITING_PERMIT -> PlacementRefusal.COLD;
     };
   }
 
