Bound the time of a request's head and keep answers to their requests

A head that trickles in gets 408; idleness alone does not see it, since each byte ends the idleness. An Idempotency-Key counts for one route and one content: a kept answer carries a mark of the request it answers, so that a key used again for another booking is refused and never gets the first one's answer. Weighed against widening the claims' messages, which would spend control bytes on every claim.

--- a/daemon/src/main/java/org/ragworttide/daemon/caller/BodyReader.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/BodyReader.java
@@ -21,7 +21,7 @@
 
   BodyReader(CallerSettings settings) {
     this.maxBytes = settings.maxBodyBytes();
-    this.longest = Duration.ofMillis(settings.bodyTimeoutMillis());
+    this.longest = Duration.ofMillis(settings.receiveTimeoutMillis());
   }
 
   /** What became of reading a body. */
--- a/daemon/src/main/java/org/ragworttide/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/CallerServer.java
@@ -1,6 +1,5 @@
 package org.ragworttide.daemon.caller;
 
-import io.netty.channel.Channel;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.ImmediateEventExecutor;
@@ -14,7 +13,6 @@
 import org.ragworttide.document.ConfigurationDocument;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
-import reactor.netty.NettyPipeline;
 import reactor.netty.http.server.HttpRequestDecoderSpec;
 import reactor.netty.http.server.HttpServer;
 
@@ -70,7 +68,9 @@
         .channelGroup(connections)
         .idleTimeout(Duration.ofMillis(settings.idleMillis()))
         .httpRequestDecoder(this::limits)
-        .doOnChannelInit((observer, channel, remote) -> addHandlers(channel))
+        .doOnChannelInit(
+            (observer, channel, remote) ->
+                DecodingRefusal.addTo(channel.pipeline(), settings.receiveTimeoutMillis()))
         .handle(new CallerHandler(intake, bodies, relay, running, drain, metrics))
         .bind()
         .map(
@@ -86,12 +86,6 @@
         .maxHeaderSize(settings.maxHeaderBytes());
   }
 
-  private static void addHandlers(Channel channel) {
-    channel
-        .pipeline()
-        .addBefore(NettyPipeline.HttpTrafficHandler, "decodingRefusal", new DecodingRefusal());
-  }
-
   /** Returns the address listened on. */
   public InetSocketAddress address() {
     return (InetSocketAddress) server.address();
--- a/daemon/src/main/java/org/ragworttide/daemon/caller/CallerSettings.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/CallerSettings.java
@@ -10,7 +10,7 @@
  * @param maxTargetBytes longest request line
  * @param maxHeaderBytes largest head of a request
  * @param maxBodyBytes largest body of a request
- * @param bodyTimeoutMillis longest time for a body to arrive
+ * @param receiveTimeoutMillis longest time for a head, and then for a body, to arrive
  * @param idleMillis how long an unused connection is kept
  * @param drainNoticeMillis how long the listener stays open after a drain has begun
  */
@@ -20,7 +20,7 @@
     int maxTargetBytes,
     int maxHeaderBytes,
     int maxBodyBytes,
-    long bodyTimeoutMillis,
+    long receiveTimeoutMillis,
     long idleMillis,
     long drainNoticeMillis) {
 
@@ -30,7 +30,7 @@
         || maxTargetBytes <= 0
         || maxHeaderBytes <= 0
         || maxBodyBytes <= 0
-        || bodyTimeoutMillis <= 0
+        || receiveTimeoutMillis <= 0
         || idleMillis <= 0
         || drainNoticeMillis < 0) {
       throw new IllegalArgumentException("limits of the callers' listener must be positive");
@@ -45,7 +45,7 @@
         maxTargetBytes,
         headerBytes,
         bodyBytes,
-        bodyTimeoutMillis,
+        receiveTimeoutMillis,
         idle,
         drainNoticeMillis);
   }
--- a/daemon/src/main/java/org/ragworttide/daemon/caller/DecodingRefusal.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/DecodingRefusal.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -21,6 +22,7 @@
 import org.ragworttide.daemon.relay.Problem;
 import org.ragworttide.daemon.relay.ProblemCode;
 import org.ragworttide.daemon.relay.ProblemJson;
+import reactor.netty.NettyPipeline;
 
 /**
  * Answers heads that can't be decoded with a refusal in problem JSON, and closes the connection.
@@ -29,9 +31,27 @@
  * by its event loop only.
  */
 final class DecodingRefusal extends ChannelDuplexHandler {
+  private final HeadTimeout headTimeout;
+  private ChannelHandlerContext context;
   private int unanswered;
   private boolean refused;
 
+  private DecodingRefusal(long receiveTimeoutMillis) {
+    headTimeout = new HeadTimeout(receiveTimeoutMillis, this::headTimedOut);
+  }
+
+  /** Adds the refusal, and the time-out of heads, around the HTTP codec. */
+  static void addTo(ChannelPipeline pipeline, long receiveTimeoutMillis) {
+    DecodingRefusal refusal = new DecodingRefusal(receiveTimeoutMillis);
+    pipeline.addBefore(NettyPipeline.HttpCodec, "headTimeout", refusal.headTimeout);
+    pipeline.addBefore(NettyPipeline.HttpTrafficHandler, "decodingRefusal", refusal);
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    context = ctx;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (refused) {
@@ -39,15 +59,18 @@
       return;
     }
     if (message instanceof HttpRequest request) {
+      headTimeout.headCame();
       if (request.decoderResult().isFailure() && unanswered == 0) {
-        refused = true;
         Problem problem = problem(request.decoderResult().cause());
         ReferenceCountUtil.release(message);
-        refuse(ctx, problem);
+        refuse(problem);
         return;
       }
       unanswered++;
     }
+    if (message instanceof LastHttpContent) {
+      headTimeout.requestCame();
+    }
     ctx.fireChannelRead(message);
   }
 
@@ -69,8 +92,16 @@
     };
   }
 
-  /** Writes a refusal and closes the connection. */
-  static void refuse(ChannelHandlerContext ctx, Problem problem) {
+  private void headTimedOut() {
+    if (unanswered == 0 && !refused) {
+      refuse(Problem.notRun(ProblemCode.REQUEST_TIMEOUT, "the head did not arrive in time"));
+    } else {
+      context.close();
+    }
+  }
+
+  private void refuse(Problem problem) {
+    refused = true;
     RequestId id = new RequestId(UUID.randomUUID().toString());
     byte[] body = ProblemJson.body(problem, id);
     FullHttpResponse response =
@@ -84,6 +115,6 @@
         .set(HttpHeaderNames.CONTENT_LENGTH, body.length)
         .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         .set(AnswerWriter.REQUEST_ID, id.value());
-    ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
   }
 }
--- a/daemon/src/main/java/org/ragworttide/daemon/caller/HeadValues.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/HeadValues.java
@@ -12,7 +12,7 @@
   static final String IDEMPOTENCY_KEY = "Idempotency-Key";
   static final String REQUEST_TIMEOUT = "Request-Timeout-Ms";
 
-  private static final int MAX_ID_CHARS = 128;
+  private static final int MAX_ID_CHARS = 120;
   private static final int MAX_TIMEOUT_DIGITS = 12;
 
   private HeadValues() {}
--- a/daemon/src/main/java/org/ragworttide/daemon/caller/IntakeCheck.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/IntakeCheck.java
@@ -83,11 +83,17 @@
         head.bearerKey(),
         key,
         Optional.ofNullable(headers.get(HeadValues.CHAT_ID)).map(ChatId::new),
-        Optional.ofNullable(headers.get(HeadValues.IDEMPOTENCY_KEY)).map(RequestKey::new),
+        Optional.ofNullable(headers.get(HeadValues.IDEMPOTENCY_KEY))
+            .map(given -> requestKey(given, route)),
         Deadline.afterMillis(HeadValues.timeoutMillis(headers, route)),
         query.isEmpty() ? route.path() : route.path() + "?" + query);
   }
 
+  /** Returns a key that tells routes apart, so that one never replays another's answer. */
+  private static RequestKey requestKey(String key, Route route) {
+    return new RequestKey(key + ' ' + route.id());
+  }
+
   private static Intake refuse(ProblemCode code, String detail) {
     return new Intake.Refused(Problem.notRun(code, detail));
   }
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/ClaimedRun.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/ClaimedRun.java
@@ -62,7 +62,10 @@
   private Mono<AnswerPart> onDecision(ClaimDecision decision, Flux<AnswerPart> granted) {
     return switch (decision) {
       case ClaimDecision.Granted grant -> run(grant.handle(), granted);
-      case ClaimDecision.FirstAnswer first -> Mono.just(replay(first));
+      case ClaimDecision.FirstAnswer first ->
+          FingerprintedBody.answers(first.body(), request.fingerprint())
+              ? Mono.just(replay(first))
+              : refuse(Refusals.keyReused());
       case ClaimDecision.FirstRunning running -> refuse(Refusals.firstRunning());
       case ClaimDecision.MayHaveRun mayHaveRun -> refuse(Refusals.firstMayHaveRun());
       case ClaimDecision.NotRun notRun -> refuse(Refusals.of(notRun));
@@ -87,14 +90,16 @@
     if (!first.contentType().isEmpty()) {
       headers.set(HttpHeaderNames.CONTENT_TYPE, first.contentType());
     }
-    return new AnswerPart.Whole(first.status(), headers, first.body());
+    return new AnswerPart.Whole(first.status(), headers, FingerprintedBody.unwrap(first.body()));
   }
 
-  private static void report(ClaimHandle handle, AnswerPart part) {
+  private void report(ClaimHandle handle, AnswerPart part) {
     switch (part) {
       case AnswerPart.Whole whole ->
           handle.completed(
-              whole.status(), whole.headers().get(HttpHeaderNames.CONTENT_TYPE, ""), whole.body());
+              whole.status(),
+              whole.headers().get(HttpHeaderNames.CONTENT_TYPE, ""),
+              FingerprintedBody.wrap(request.fingerprint(), whole.body()));
       case AnswerPart.Refusal refusal -> report(handle, refusal.problem().outcome());
       case AnswerPart.StreamHead head -> handle.mayHaveRun();
       case AnswerPart.StreamEvent event -> handle.mayHaveRun();
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/ProblemCode.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/ProblemCode.java
@@ -28,6 +28,8 @@
   BODY_TOO_LARGE("body-too-large", 413, "The request's body is too large"),
   /** The request target is longer than allowed. */
   TARGET_TOO_LONG("target-too-long", 414, "The request target is too long"),
+  /** The Idempotency-Key came with another request before. */
+  IDEMPOTENCY_KEY_REUSED("idempotency-key-reused", 422, "Idempotency-Key was used before"),
   /** The request has crashed upstreams and is refused for a while. */
   QUARANTINED("quarantined", 422, "The request has crashed upstreams"),
   /** The headers are larger than allowed. */
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/Refusals.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/Refusals.java
@@ -57,6 +57,11 @@
         ProblemCode.FIRST_RUNNING, RunOutcome.MAY_HAVE_RUN, detail, RETRY_AFTER_MILLIS);
   }
 
+  static Problem keyReused() {
+    return Problem.notRun(
+        ProblemCode.IDEMPOTENCY_KEY_REUSED, "the key came with another request before");
+  }
+
   static Problem firstMayHaveRun() {
     return Problem.mayHaveRun(ProblemCode.FIRST_MAY_HAVE_RUN, "its answer was lost");
   }
--- a/daemon/src/test/java/org/ragworttide/daemon/BadInputTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/BadInputTest.java
@@ -122,6 +122,19 @@
     }
   }
 
+  @Test
+  public void headThatTricklesInIsRefused() throws IOException {
+    try (PathFixture path = PathFixture.start(withBodyLimits(1_000, 200), ANSWER);
+        RawCaller caller = new RawCaller(path.http.callerAddress())) {
+      caller.write("GET /hours HTTP/1.1\r\nHost: x\r\n\r\n");
+      assertTrue(caller.readUntil("{}").startsWith("HTTP/1.1 200"));
+      caller.write("GET /hours HTTP/1.1\r\nHo");
+      String answer = caller.readAll();
+      assertTrue(answer.startsWith("HTTP/1.1 408"), answer);
+      assertTrue(answer.contains("request-timeout"), answer);
+    }
+  }
+
   private static DaemonHttp.Settings withBodyLimits(int maxBytes, long timeoutMillis) {
     CallerSettings caller =
         new CallerSettings("127.0.0.1", 0, 8 << 10, 16 << 10, maxBytes, timeoutMillis, 60_000, 0);
--- a/daemon/src/test/java/org/ragworttide/daemon/PathTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/PathTest.java
@@ -99,6 +99,18 @@
     }
   }
 
+  @Test
+  public void keyOfAnotherRequestIsNotAnsweredWithItsAnswer() throws IOException {
+    try (PathFixture path = PathFixture.start(exchange -> exchange.json("{\"booking\":1}"))) {
+      assertEquals(path.send(booking(path)).statusCode(), 200);
+      HttpResponse<String> other =
+          path.send(path.post("/bookings", "{\"van\":2}").header("Idempotency-Key", "k-1"));
+      assertEquals(other.statusCode(), 422);
+      assertTrue(other.body().contains("idempotency-key-reused"), other.body());
+      assertEquals(path.arrivals().size(), 1);
+    }
+  }
+
   @Test
   public void bookingWithoutKeyIsRefused() throws IOException {
     try (PathFixture path = PathFixture.start(exchange -> exchange.json("{}"))) {
