--- a/daemon/src/main/java/org/ragworttide/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/CallerServer.java
@@ -1,17 +1,18 @@
 package org.ragworttide.daemon.caller;
 
-import io.netty.channel.Channel;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.ImmediateEventExecutor;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.function.Supplier;
+import org.ragworttide.daemon.log.EventLog;
+import org.ragworttide.daemon.log.LogEvent;
+import org.ragworttide.daemon.metrics.PathMetrics;
 import org.ragworttide.daemon.relay.Relay;
 import org.ragworttide.document.ConfigurationDocument;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
-import reactor.netty.NettyPipeline;
 import reactor.netty.http.server.HttpRequestDecoderSpec;
 import reactor.netty.http.server.HttpServer;
 
@@ -27,13 +28,20 @@
   private final CallerSettings settings;
   private final IntakeCheck intake;
   private final Relay relay;
+  private final PathMetrics metrics;
   private DisposableServer server;
 
   private CallerServer(
-      CallerSettings settings, Supplier<ConfigurationDocument> configuration, Relay relay) {
+      CallerSettings settings,
+      Supplier<ConfigurationDocument> configuration,
+      Relay relay,
+      PathMetrics metrics) {
     this.settings = settings;
     this.intake = new IntakeCheck(new ConfigurationIndexes(configuration));
     this.relay = relay;
+    this.metrics = metrics;
+    metrics.gauge("running_requests", drain.requests()::count);
+    metrics.gauge("claimed_runs", relay.claimedRuns()::count);
   }
 
   /**
@@ -42,10 +50,14 @@
    * @param settings the listener's settings
    * @param configuration the configuration in force, null as long as there is none
    * @param relay what answers the requests
+   * @param metrics counts refusals and running requests
    */
   public static Mono<CallerServer> start(
-      CallerSettings settings, Supplier<ConfigurationDocument> configuration, Relay relay) {
-    return Mono.defer(() -> new CallerServer(settings, configuration, relay).bind());
+      CallerSettings settings,
+      Supplier<ConfigurationDocument> configuration,
+      Relay relay,
+      PathMetrics metrics) {
+    return Mono.defer(() -> new CallerServer(settings, configuration, relay, metrics).bind());
   }
 
   private Mono<CallerServer> bind() {
@@ -56,8 +68,10 @@
         .channelGroup(connections)
         .idleTimeout(Duration.ofMillis(settings.idleMillis()))
         .httpRequestDecoder(this::limits)
-        .doOnChannelInit((observer, channel, remote) -> addHandlers(channel))
-        .handle(new CallerHandler(intake, bodies, relay, running, drain))
+        .doOnChannelInit(
+            (observer, channel, remote) ->
+                DecodingRefusal.addTo(channel.pipeline(), settings.receiveTimeoutMillis()))
+        .handle(new CallerHandler(intake, bodies, relay, running, drain, metrics))
         .bind()
         .map(
             bound -> {
@@ -72,12 +86,6 @@
         .maxHeaderSize(settings.maxHeaderBytes());
   }
 
-  private static void addHandlers(Channel channel) {
-    channel
-        .pipeline()
-        .addBefore(NettyPipeline.HttpTrafficHandler, "decodingRefusal", new DecodingRefusal());
-  }
-
   /** Returns the address listened on. */
   public InetSocketAddress address() {
     return (InetSocketAddress) server.address();
@@ -85,7 +93,10 @@
 
   /** Ends the requests whose keys the configuration no longer admits. */
   public void onConfiguration() {
-    running.endWithdrawn(intake::stillAdmits);
+    int ended = running.endWithdrawn(intake::stillAdmits);
+    if (ended > 0) {
+      EventLog.log(LogEvent.REQUESTS_WITHDRAWN, ended);
+    }
   }
 
   /** Returns whether a drain has begun. */
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
@@ -108,7 +108,8 @@
     DaemonSettings.Address address = settings.peers().address();
     return peers
         .bind(address.host(), address.port())
-        .then(DaemonHttp.start(DaemonOptions.http(settings), configuration::current, ports))
+        .then(
+            DaemonHttp.start(DaemonOptions.http(settings), configuration::current, ports, metrics))
         .doOnNext(started -> http = started)
         .then(Mono.defer(this::serveOperators))
         .then(Mono.fromSupplier(this::follow));
