--- a/bin/launcher.sh
+++ b/bin/launcher.sh
@@ -12,21 +12,26 @@
   done
 }
 
-# Runs the main class of a module with the given arguments.
+# Builds everything unless the module's main class can run.
+build_if_missing() {
+  local module=$1 main=$2 log
+  if built "$module" "$main"; then return 0; fi
+  log=$(mktemp) || exit 2
+  if ! "$root/build" -q -DskipTests package >"$log" 2>&1 </dev/null; then
+    cat "$log" >&2
+    rm -f "$log"
+    echo "$(basename "$0"): the build failed" >&2
+    exit 2
+  fi
+  rm -f "$log"
+}
+
+# Replaces the shell by the main class of a module with the given arguments.
 launch() {
-  local module=$1 main=$2 home log
+  local module=$1 main=$2 home
   shift 2
   home=$("$root/build" --java-home) || exit 2
-  if ! built "$module" "$main"; then
-    log=$(mktemp) || exit 2
-    if ! "$root/build" -q -DskipTests package >"$log" 2>&1 </dev/null; then
-      cat "$log" >&2
-      rm -f "$log"
-      echo "$(basename "$0"): the build failed" >&2
-      exit 2
-    fi
-    rm -f "$log"
-  fi
+  build_if_missing "$module" "$main"
   # shellcheck disable=SC2086
   exec "$home/bin/java" --enable-native-access=ALL-UNNAMED \
     -Dslf4j.internal.verbosity=ERROR -Dragworttide.root="$root" ${JAVA_OPTS:-} \
--- a/cli/src/main/java/org/ragworttide/cli/Command.java
+++ b/cli/src/main/java/org/ragworttide/cli/Command.java
@@ -68,6 +68,7 @@
    * @param url where to send them
    * @param ratePerSecond requests a second
    * @param seconds how long
+   * @param warmupSeconds how long before that without recording
    * @param keyFile file with the caller's key
    * @param body the body to post, or none to get
    * @param chats number of chat ids that take turns
@@ -77,6 +78,7 @@
       URI url,
       double ratePerSecond,
       int seconds,
+      int warmupSeconds,
       Optional<Path> keyFile,
       Optional<String> body,
       int chats,
--- a/cli/src/main/java/org/ragworttide/cli/CommandParser.java
+++ b/cli/src/main/java/org/ragworttide/cli/CommandParser.java
@@ -24,14 +24,15 @@
         status OPERATORS_URL               a daemon and the fleet as it sees it
         audit [--last N] OPERATORS_URL     the last changes a daemon has recorded
         drain OPERATORS_URL                finish the work and take none
-        load --rate R [--seconds S] [--key-file FILE] [--body TEXT]
-             [--chats N] [--plot FILE.svg] URL
+        load --rate R [--seconds S] [--warmup-seconds S] [--key-file FILE]
+             [--body TEXT] [--chats N] [--plot FILE.svg] URL
                                            send requests at a fixed rate
       FILE may be - for the standard input. Exit codes: 0 done, 1 negative answer,
       2 wrong arguments or unreadable file, 3 daemon unreachable.
       """;
   private static final int DEFAULT_AUDIT_ENTRIES = 20;
   private static final int DEFAULT_LOAD_SECONDS = 10;
+  private static final int DEFAULT_WARMUP_SECONDS = 2;
   private static final int DEFAULT_CHATS = 100;
 
   private CommandParser() {}
@@ -61,7 +62,8 @@
       case "check" -> options.addOption(flag("settings"));
       case "explain" -> values(options, "path", "model", "chat", "key-file", "key-digest");
       case "audit" -> values(options, "last");
-      case "load" -> values(options, "rate", "seconds", "key-file", "body", "chats", "plot");
+      case "load" ->
+          values(options, "rate", "seconds", "warmup-seconds", "key-file", "body", "chats", "plot");
       default -> {}
     }
     return options;
@@ -98,6 +100,7 @@
         url(line),
         rate(line),
         whole(line, "seconds", DEFAULT_LOAD_SECONDS),
+        whole(line, "warmup-seconds", DEFAULT_WARMUP_SECONDS),
         optional(line, "key-file").map(Path::of),
         optional(line, "body"),
         whole(line, "chats", DEFAULT_CHATS),
--- a/cli/src/main/java/org/ragworttide/cli/LoadRunner.java
+++ b/cli/src/main/java/org/ragworttide/cli/LoadRunner.java
@@ -71,19 +71,23 @@
 
   private void sendAll() {
     long intervalNanos = (long) (TimeUnit.SECONDS.toNanos(1) / command.ratePerSecond());
-    long count = Math.round(command.ratePerSecond() * command.seconds());
+    long unrecorded = Math.round(command.ratePerSecond() * command.warmupSeconds());
+    long count = unrecorded + Math.round(command.ratePerSecond() * command.seconds());
     long start = System.nanoTime();
     for (long i = 0; i < count; i++) {
       long due = start + i * intervalNanos;
       for (long left = due - System.nanoTime(); left > 0; left = due - System.nanoTime()) {
         LockSupport.parkNanos(left);
       }
-      send(i, due);
+      send(i, new Due(due, i >= unrecorded));
     }
     pending.arriveAndAwaitAdvance();
   }
 
-  private void send(long number, long dueNanos) {
+  /** When a request was due, and whether its times count. */
+  private record Due(long nanos, boolean recorded) {}
+
+  private void send(long number, Due due) {
     pending.register();
     client
         .headers(headers -> headers.set("Chat-Id", "load-" + number % command.chats()))
@@ -94,26 +98,28 @@
                 .map(text -> Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8))))
         .response(
             (response, body) -> {
-              record(firstByte, dueNanos);
+              record(firstByte, due);
               return body.then(Mono.just(Integer.toString(response.status().code())));
             })
         .next()
         .timeout(ANSWER_TIMEOUT)
         .onErrorResume(e -> Mono.just(e.getClass().getSimpleName()))
         .doFinally(signal -> pending.arriveAndDeregister())
-        .subscribe(outcome -> ended(outcome, dueNanos));
+        .subscribe(outcome -> ended(outcome, due));
   }
 
-  private void ended(String outcome, long dueNanos) {
-    record(whole, dueNanos);
+  private void ended(String outcome, Due due) {
+    record(whole, due);
     synchronized (outcomes) {
-      outcomes.merge(outcome, 1, Integer::sum);
+      outcomes.merge(outcome, due.recorded() ? 1 : 0, Integer::sum);
     }
   }
 
-  private static void record(Histogram histogram, long dueNanos) {
-    long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - dueNanos);
-    histogram.recordValue(Math.clamp(micros, 0, HIGHEST_MICROS));
+  private static void record(Histogram histogram, Due due) {
+    if (due.recorded()) {
+      long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - due.nanos());
+      histogram.recordValue(Math.clamp(micros, 0, HIGHEST_MICROS));
+    }
   }
 
   private void plot(Path file) {
