--- a/fakes/src/main/java/org/ragworttide/fakes/FakeEngine.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/FakeEngine.java
@@ -74,9 +74,9 @@
     state.pace(new EngineState.Pace(chunks, chunkDelayMillis, missDelayMillis));
   }
 
-  /** Crashes in the next request after so many chunks of it. */
-  public void crashNext(int afterChunks) {
-    state.crashNext(afterChunks);
+  /** Closes every connection with a request and starts again with empty memory. */
+  public void crash() {
+    state.crash();
   }
 
   @Override
@@ -89,7 +89,7 @@
         .post("/v1/chat/completions", this::chat)
         .get("/control/stats", (in, out) -> LoopbackServer.json(out, state.stats()))
         .post("/control/pace", (in, out) -> control(out, () -> state.pace(paceOf(in))))
-        .post("/control/crash", (in, out) -> control(out, () -> crash(in)))
+        .post("/control/crash", (in, out) -> control(out, () -> crashAsTold(in)))
         .post("/control/stall", (in, out) -> control(out, () -> stall(in)))
         .post("/control/cold", (in, out) -> control(out, () -> turnCold(in)))
         .post("/control/refuse", (in, out) -> control(out, () -> refuse(in)));
@@ -115,7 +115,7 @@
         LoopbackServer.number(in, "missDelayMillis", now.missDelayMillis()));
   }
 
-  private void crash(HttpServerRequest in) {
+  private void crashAsTold(HttpServerRequest in) {
     int after = (int) LoopbackServer.number(in, "afterChunks", -1);
     if (after < 0) {
       state.crash();
--- a/fakes/src/main/java/org/ragworttide/fakes/FakeSet.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/FakeSet.java
@@ -28,6 +28,7 @@
   private final List<FakeEngine> engines;
   private final FakeBookingService bookings;
   private final Disposable loads;
+  private volatile long idleReports;
 
   private FakeSet(Ports ports, Set<String> keys) {
     platform = FakePlatform.start(ports.platform());
@@ -65,6 +66,11 @@
     return bookings;
   }
 
+  /** Returns how many load reports without any request in flight were published in a row. */
+  public long idleReports() {
+    return idleReports;
+  }
+
   @Override
   public void close() {
     loads.dispose();
@@ -74,6 +80,9 @@
   }
 
   private void publishLoads() {
-    platform.publishLoads(engines.stream().map(FakeEngine::report).toList());
+    List<LoadReport> reports = engines.stream().map(FakeEngine::report).toList();
+    platform.publishLoads(reports);
+    boolean idle = reports.stream().allMatch(report -> report.running() == 0);
+    idleReports = idle ? idleReports + 1 : 0;
   }
 }
--- a/fakes/src/main/java/org/ragworttide/fakes/demo/DemoFleet.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/demo/DemoFleet.java
@@ -27,6 +27,10 @@
   static final Set<String> KEYS = Set.of("hotel-key", "hotel-old-key", "plumber-key");
   private static final List<String> ZONES = List.of("heraklion", "chania", "rethymno");
 
+  private static final int MAX_POLLS = 100;
+  private static final long POLL_MILLIS = 20;
+  private static final long DELIVERY_MILLIS = 60;
+
   private final Path folder;
   private final FakeSet fakes;
   private final DemoDocument document;
@@ -72,6 +76,16 @@
     return daemons;
   }
 
+  /** Waits until the daemons have a load report that names no request in flight. */
+  void awaitIdleReport() {
+    long before = fakes.idleReports();
+    for (int i = 0; i < MAX_POLLS && fakes.idleReports() <= before; i++) {
+      DemoCaller.pause(POLL_MILLIS);
+      before = Math.min(before, fakes.idleReports());
+    }
+    DemoCaller.pause(DELIVERY_MILLIS);
+  }
+
   void publishDocument() {
     fakes.platform().publish("configuration", document.version(), document.bytes());
   }
