Split the limits of busy organisations into parts with owners of their own

Larger permits were ruled out, since a node sees a request of that organisation every few seconds only; smaller messages alone were not enough. A limit is now cut into up to 32 parts where an owner would answer more than 20 asks a second; a request goes to the part of its own hash, so that its retry meets the same memory, and to one other part before it is refused. A close names its requests only when they are not those that were asked for.

--- a/bench/src/main/java/org/ragworttide/bench/coordination/LimitTrial.java
+++ b/bench/src/main/java/org/ragworttide/bench/coordination/LimitTrial.java
@@ -34,6 +34,7 @@
   private final SplittableRandom random;
   private final LimitFleet fleet;
   private final FixedShares fixed;
+  private final RateChecker ideal = new RateChecker();
   private final RateChecker fixedChecker = new RateChecker();
   private final Map<OrganisationId, Tally> tallies = new LinkedHashMap<>();
   private final Map<OrganisationId, RateLimit> table = new LinkedHashMap<>();
@@ -51,6 +52,7 @@
     table.forEach(
         (id, limit) -> {
           tallies.put(id, new Tally());
+          ideal.limit(id, limit, 0);
           fixedChecker.limit(id, limit, 0);
         });
     fleet.apply(table);
@@ -80,11 +82,13 @@
     int last = pattern == LoadPattern.PARTITIONED ? fleet.vms.size() - 2 : fleet.vms.size();
     long end = WARM_UP_MILLIS + durationMillis + 10_000L;
     int shard = 0;
+    long life = pattern == LoadPattern.OWNER_LOSS ? OWNER_LIFE_MILLIS : 2 * end;
     for (OrganisationId id : table.keySet()) {
-      int owner = shard++;
-      long life = pattern == LoadPattern.OWNER_LOSS ? OWNER_LIFE_MILLIS : 2 * end;
-      for (long from = 0; from < end; from += life + LEASE_MILLIS) {
-        fleet.owners.hold(id.value(), fleet.vms.get(owner++ % last), from, from + life);
+      for (String resource : fleet.resources(id)) {
+        int owner = shard++;
+        for (long from = 0; from < end; from += life + LEASE_MILLIS) {
+          fleet.owners.hold(resource, fleet.vms.get(owner++ % last), from, from + life);
+        }
       }
     }
   }
@@ -116,25 +120,14 @@
     int vm = vm(id);
     String request = "r" + nextRequest++;
     long now = fleet.time.nowMillis();
-    boolean inside = fleet.checker.isInside(id, now);
-    tally.offered++;
-    fleet.request(
-        fleet.vms.get(vm),
-        id,
-        request,
-        decision -> {
-          if (decision instanceof LimitDecision.Admitted) {
-            tally.admitted++;
-          } else if (inside) {
-            tally.wrongful++;
-          }
-        });
-    boolean fixedInside = fixedChecker.isInside(id, now);
+    if (ideal.isInside(id, now)) {
+      ideal.admitted(id, request, now);
+      tally.inside++;
+    }
+    fleet.request(fleet.vms.get(vm), id, request, tally::count);
     if (fixed.admit(id, vm, now)) {
       fixedChecker.admitted(id, request, now);
       tally.fixedAdmitted++;
-    } else if (fixedInside) {
-      tally.fixedWrongful++;
     }
   }
 
@@ -145,35 +138,27 @@
   }
 
   private LimitResult result() {
-    long offered = 0;
+    long inside = 0;
     long wrongful = 0;
     long fixedWrongful = 0;
     double worst = 1;
     double fixedWorst = 1;
-    for (Map.Entry<OrganisationId, Tally> entry : tallies.entrySet()) {
-      Tally tally = entry.getValue();
-      offered += tally.offered;
-      wrongful += tally.wrongful;
-      fixedWrongful += tally.fixedWrongful;
-      double due = due(entry.getKey(), tally);
-      worst = Math.min(worst, tally.admitted / due);
-      fixedWorst = Math.min(fixedWorst, tally.fixedAdmitted / due);
+    for (Tally tally : tallies.values()) {
+      inside += tally.inside;
+      wrongful += Math.max(0, tally.inside - tally.admitted);
+      fixedWrongful += Math.max(0, tally.inside - tally.fixedAdmitted);
+      worst = Math.min(worst, tally.served(tally.admitted));
+      fixedWorst = Math.min(fixedWorst, tally.served(tally.fixedAdmitted));
     }
     return new LimitResult(
         fleet.checker.overshoot(),
-        (double) wrongful / offered,
+        (double) wrongful / inside,
         worst,
         fixedChecker.overshoot(),
-        (double) fixedWrongful / offered,
+        (double) fixedWrongful / inside,
         fixedWorst);
   }
 
-  /** Returns how many of the organisation's requests its rate allowed for, at least one. */
-  private double due(OrganisationId id, Tally tally) {
-    double allowed = table.get(id).ratePerSecond() * durationMillis / 1_000;
-    return Math.max(1, Math.min(tally.offered, allowed));
-  }
-
   private record Arrival(double atMillis, OrganisationId id) implements Comparable<Arrival> {
     @Override
     public int compareTo(Arrival other) {
@@ -183,10 +168,19 @@
   }
 
   private static final class Tally {
-    private long offered;
+    private long inside;
     private long admitted;
-    private long wrongful;
     private long fixedAdmitted;
-    private long fixedWrongful;
+
+    private void count(LimitDecision decision) {
+      if (decision instanceof LimitDecision.Admitted) {
+        admitted++;
+      }
+    }
+
+    /** Returns the share of the requests inside rate and burst that were made up for. */
+    private double served(long count) {
+      return inside == 0 ? 1 : Math.min(1, (double) count / inside);
+    }
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/AskOutbox.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/AskOutbox.java
@@ -4,10 +4,9 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.message.LimitMessage.Ask;
@@ -37,10 +36,10 @@
     this.sender = sender;
   }
 
-  /** Sends the account's wishes with the next ask. */
-  void want(VmId owner, HolderAccount account, int delayMillis) {
+  /** Sends the account's wishes for a part with the next ask. */
+  void want(VmId owner, HolderAccount account, LimitPart part, int delayMillis) {
     Box box = boxes.computeIfAbsent(owner, id -> new Box());
-    box.accounts.add(account);
+    box.wishes.put(part, account);
     schedule(owner, box, delayMillis);
   }
 
@@ -75,35 +74,42 @@
       return;
     }
     box.timer.cancel();
-    while (!box.accounts.isEmpty() || !box.closes.isEmpty()) {
+    while (!box.wishes.isEmpty() || !box.closes.isEmpty()) {
       send(owner, box);
     }
   }
 
   private void send(VmId owner, Box box) {
-    List<Want> wants = new ArrayList<>();
     List<PendingAsk.Wanted> wanted = new ArrayList<>();
-    long now = time.nowMillis();
-    while (wants.size() < MAX_WANTS && !box.accounts.isEmpty()) {
-      HolderAccount account = box.accounts.iterator().next();
-      List<Waiter> waiters = account.takeWaiting(MAX_REQUESTS_A_WANT);
-      int spare = account.isAwaited() ? 0 : account.spareTokens(now);
-      wants.add(
-          new Want(account.organisation(), waiters.stream().map(Waiter::request).toList(), spare));
-      wanted.add(new PendingAsk.Wanted(account, waiters, spare));
-      if (!account.isAwaited()) {
-        box.accounts.remove(account);
-      }
+    while (wanted.size() < MAX_WANTS && !box.wishes.isEmpty()) {
+      wanted.add(nextWanted(box));
     }
     List<Close> closes = new ArrayList<>();
     while (closes.size() < MAX_CLOSES && !box.closes.isEmpty()) {
       closes.add(box.closes.removeFirst());
     }
-    sender.accept(owner, new PendingAsk(owner, now, new Ask(nextAskId++, wants, closes), wanted));
+    List<Want> wants = wanted.stream().map(PendingAsk.Wanted::want).toList();
+    long askId = wants.isEmpty() ? 0 : nextAskId++;
+    Ask ask = new Ask(askId, wants, closes);
+    sender.accept(owner, new PendingAsk(owner, time.nowMillis(), ask, wanted));
+  }
+
+  private PendingAsk.Wanted nextWanted(Box box) {
+    Map.Entry<LimitPart, HolderAccount> wish = box.wishes.entrySet().iterator().next();
+    LimitPart part = wish.getKey();
+    HolderAccount account = wish.getValue();
+    List<Waiter> waiters = account.takeWaiting(part, MAX_REQUESTS_A_WANT);
+    boolean more = account.isAwaited(part);
+    boolean home = part.equals(account.homePart());
+    int spare = more || !home ? 0 : account.spareTokens(time.nowMillis());
+    if (!more) {
+      box.wishes.remove(part);
+    }
+    return new PendingAsk.Wanted(account, part, waiters, spare);
   }
 
   private static final class Box {
-    private final Set<HolderAccount> accounts = new LinkedHashSet<>();
+    private final Map<LimitPart, HolderAccount> wishes = new LinkedHashMap<>();
     private final Deque<Close> closes = new ArrayDeque<>();
     private TimerService.Subscription timer = () -> {};
     private long dueMillis = Long.MAX_VALUE;
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/HolderAccount.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/HolderAccount.java
@@ -22,13 +22,40 @@
   private final DemandRate demand = new DemandRate();
   private final Deque<Permit> permits = new ArrayDeque<>(2);
   private final Deque<Waiter> waiting = new ArrayDeque<>(2);
-  private long emptyUntilMillis = Long.MIN_VALUE;
+  private final int home;
+  private long[] emptyUntilMillis;
   private boolean prefetching;
   private boolean scarce;
 
-  HolderAccount(OrganisationId organisation, RateLimit reserve, long startMillis) {
+  HolderAccount(OrganisationId organisation, LimitShares shares, int home, long startMillis) {
     this.organisation = organisation;
-    this.reserve = new TokenBucket(reserve, startMillis);
+    this.reserve = new TokenBucket(shares.reserve(), startMillis);
+    this.emptyUntilMillis = new long[shares.parts()];
+    this.home = home;
+  }
+
+  /** Puts changed shares in force. */
+  void change(LimitShares shares, long nowMillis) {
+    if (!reserve.limit().equals(shares.reserve())) {
+      reserve.change(shares.reserve(), nowMillis);
+    }
+    if (shares.parts() != emptyUntilMillis.length) {
+      emptyUntilMillis = new long[shares.parts()];
+    }
+  }
+
+  int parts() {
+    return emptyUntilMillis.length;
+  }
+
+  /** Returns the part from which this VM fetches tokens ahead of requests. */
+  LimitPart homePart() {
+    return new LimitPart(organisation, Math.floorMod(home, parts()));
+  }
+
+  /** Returns the part to ask for a request. */
+  LimitPart partFor(Waiter waiter) {
+    return new LimitPart(organisation, waiter.part(parts()));
   }
 
   OrganisationId organisation() {
@@ -87,14 +114,14 @@
   int spareTokens(long nowMillis) {
     int expected = demand.expectedWithin(PREFETCH_MILLIS, nowMillis);
     long missing = Math.min(MAX_SPARE_TOKENS, expected) - heldTokens(nowMillis);
-    return isKnownEmpty(nowMillis) ? 0 : (int) Math.max(0, missing);
+    return isKnownEmpty(homePart(), nowMillis) ? 0 : (int) Math.max(0, missing);
   }
 
   /** Returns whether tokens should be fetched before the held ones are used. */
   boolean runsLow(long nowMillis) {
     int expected = demand.expectedWithin(PREFETCH_MILLIS, nowMillis);
     return !prefetching
-        && !isKnownEmpty(nowMillis)
+        && !isKnownEmpty(homePart(), nowMillis)
         && expected >= 2
         && heldTokens(nowMillis) * 2 < Math.min(MAX_SPARE_TOKENS, expected);
   }
@@ -116,28 +143,29 @@
     return waiting.size() < MAX_WAITING && waiting.add(waiter);
   }
 
-  /** Removes and returns up to the given number of waiting requests. */
-  List<Waiter> takeWaiting(int max) {
+  /** Removes and returns up to the given number of requests that wait for a part. */
+  List<Waiter> takeWaiting(LimitPart part, int max) {
     List<Waiter> taken = new ArrayList<>();
-    while (taken.size() < max && !waiting.isEmpty()) {
-      taken.add(waiting.removeFirst());
-    }
+    waiting.removeIf(
+        waiter -> taken.size() < max && partFor(waiter).equals(part) && taken.add(waiter));
     return taken;
   }
 
-  boolean isAwaited() {
-    return !waiting.isEmpty();
+  boolean isAwaited(LimitPart part) {
+    return waiting.stream().anyMatch(waiter -> partFor(waiter).equals(part));
   }
 
-  void knownEmptyUntil(long millis) {
-    emptyUntilMillis = millis;
+  void knownEmptyUntil(LimitPart part, long millis) {
+    if (part.index() < parts()) {
+      emptyUntilMillis[part.index()] = millis;
+    }
   }
 
-  boolean isKnownEmpty(long nowMillis) {
-    return nowMillis < emptyUntilMillis;
+  boolean isKnownEmpty(LimitPart part, long nowMillis) {
+    return emptyForMillis(part, nowMillis) > 0;
   }
 
-  long emptyForMillis(long nowMillis) {
-    return emptyUntilMillis - nowMillis;
+  long emptyForMillis(LimitPart part, long nowMillis) {
+    return part.index() < parts() ? emptyUntilMillis[part.index()] - nowMillis : 0;
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitHolder.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitHolder.java
@@ -75,27 +75,53 @@
   }
 
   private void acquire(HolderAccount account, Waiter waiter, long now) {
-    Optional<VmId> owner = owners.ownerOf(account.organisation().value());
     if (usePermit(account, waiter, now)) {
-      owner.filter(vm -> account.runsLow(now)).ifPresent(vm -> prefetch(vm, account));
+      if (account.runsLow(now)) {
+        prefetch(account);
+      }
     } else if (account.useFullReserve(now)) {
       admitFromReserve(waiter);
-    } else if (account.isKnownEmpty(now)) {
-      admitOrRefuse(account, waiter, account.emptyForMillis(now), RefusalReason.RATE_EXCEEDED);
-    } else if (owner.isEmpty()) {
+    } else if (account.isKnownEmpty(account.partFor(waiter), now)) {
+      tryNextPart(account, waiter, account.emptyForMillis(account.partFor(waiter), now));
+    } else {
+      ask(account, waiter, now);
+    }
+  }
+
+  private void ask(HolderAccount account, Waiter waiter, long now) {
+    LimitPart part = account.partFor(waiter);
+    Optional<VmId> owner = owners.ownerOf(part.resource());
+    if (owner.isEmpty()) {
       admitOrRefuse(account, waiter, UNKNOWN_OWNER_RETRY_MILLIS, RefusalReason.OWNER_UNKNOWN);
     } else if (isSilent(owner.get(), now) && account.useReserve(now)) {
       admitFromReserve(waiter);
     } else if (account.await(waiter)) {
-      outbox.want(owner.get(), account, delayTo(owner.get()));
+      outbox.want(owner.get(), account, part, delayTo(owner.get()));
     } else {
       admitOrRefuse(account, waiter, SILENT_OWNER_MILLIS, RefusalReason.OWNER_UNREACHABLE);
     }
   }
 
-  private void prefetch(VmId owner, HolderAccount account) {
-    account.prefetching(true);
-    outbox.want(owner, account, delayTo(owner));
+  /** Asks another part, if there is one that may have tokens, before the request is refused. */
+  private void tryNextPart(HolderAccount account, Waiter waiter, long retryAfterMillis) {
+    long now = time.nowMillis();
+    boolean more = waiter.turnToNextPart(account.parts());
+    if (more && !account.isKnownEmpty(account.partFor(waiter), now)) {
+      ask(account, waiter, now);
+    } else {
+      admitOrRefuse(account, waiter, retryAfterMillis, RefusalReason.RATE_EXCEEDED);
+    }
+  }
+
+  private void prefetch(HolderAccount account) {
+    LimitPart part = account.homePart();
+    owners
+        .ownerOf(part.resource())
+        .ifPresent(
+            owner -> {
+              account.prefetching(true);
+              outbox.want(owner, account, part, delayTo(owner));
+            });
   }
 
   private void send(VmId owner, PendingAsk ask) {
@@ -140,10 +166,11 @@
     account.scarce(grant.scarce());
     if (grant.tokens() > 0) {
       long until = ask.sentMillis() + grant.durationMillis();
-      account.add(new Permit(grant.permitId(), ask.owner(), grant.tokens(), until));
+      List<Long> asked = grant.counted().isEmpty() ? wanted.requests() : List.of();
+      account.add(new Permit(grant.permitId(), ask.owner(), grant.tokens(), until, asked));
     }
     if (grant.retryAfterMillis() > 0) {
-      account.knownEmptyUntil(ask.sentMillis() + grant.retryAfterMillis());
+      account.knownEmptyUntil(wanted.part(), ask.sentMillis() + grant.retryAfterMillis());
     }
     decide(wanted, grant);
   }
@@ -159,7 +186,7 @@
         admitRetry(waiter);
       } else if (!usePermit(wanted.account(), waiter, now)) {
         long retryAfter = Math.max(1, grant.retryAfterMillis());
-        admitOrRefuse(wanted.account(), waiter, retryAfter, RefusalReason.RATE_EXCEEDED);
+        tryNextPart(wanted.account(), waiter, retryAfter);
       }
     }
   }
@@ -201,12 +228,13 @@
   void apply(LimitTable table) {
     long now = time.nowMillis();
     for (OrganisationId organisation : table.organisations()) {
-      RateLimit reserve = table.shares(organisation).orElseThrow().reserve();
+      LimitShares shares = table.shares(organisation).orElseThrow();
       HolderAccount known = accounts.get(organisation);
       if (known == null) {
-        accounts.put(organisation, new HolderAccount(organisation, reserve, now));
-      } else if (!known.reserve().limit().equals(reserve)) {
-        known.reserve().change(reserve, now);
+        int home = self.hashCode() ^ organisation.hashCode();
+        accounts.put(organisation, new HolderAccount(organisation, shares, home, now));
+      } else {
+        known.change(shares, now);
       }
     }
     accounts.values().removeIf(account -> isRemoved(account, table, now));
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitOwner.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitOwner.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.ragworttide.coordination.id.OrganisationId;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.message.LimitMessage.Answer;
 import org.ragworttide.coordination.message.LimitMessage.Ask;
@@ -28,8 +27,8 @@
   private final OwnerView owners;
   private final LimitTable table;
   private final RequestMemory memory;
-  private final Map<OrganisationId, OwnerAccount> accounts = new HashMap<>();
-  private final Map<Long, OrganisationId> permits = new HashMap<>();
+  private final Map<LimitPart, OwnerAccount> accounts = new HashMap<>();
+  private final Map<Long, LimitPart> permits = new HashMap<>();
   private long nextPermitId;
 
   LimitOwner(TimerService time, OwnerView owners, LimitTable table, long firstPermitId) {
@@ -48,26 +47,25 @@
     return new Answer(ask.askId(), grants);
   }
 
-  /** Brings the accounts of all owned organisations up to now, before their limits change. */
+  /** Brings the accounts of all owned parts up to now, before their limits change. */
   void settleAll() {
-    for (OrganisationId organisation : table.organisations()) {
-      account(organisation).ifPresent(account -> account.settle(time.nowMillis()));
+    for (LimitPart part : table.parts()) {
+      account(part).ifPresent(account -> account.settle(time.nowMillis()));
     }
   }
 
   /** Applies the shares now in force to the accounts. */
   void applyShares() {
     long now = time.nowMillis();
-    for (Map.Entry<OrganisationId, OwnerAccount> entry : accounts.entrySet()) {
-      RateLimit share =
-          table.shares(entry.getKey()).map(LimitShares::owner).orElse(RateLimit.NOTHING);
+    for (Map.Entry<LimitPart, OwnerAccount> entry : accounts.entrySet()) {
+      RateLimit share = table.limit(entry.getKey()).orElse(RateLimit.NOTHING);
       if (!entry.getValue().bucket().limit().equals(share)) {
         entry.getValue().bucket().change(share, now);
       }
     }
-    for (OrganisationId organisation : table.organisations()) {
-      if (!accounts.containsKey(organisation)) {
-        startEmpty(organisation, now);
+    for (LimitPart part : table.parts()) {
+      if (!accounts.containsKey(part)) {
+        startEmpty(part, now);
       }
     }
   }
@@ -85,53 +83,55 @@
             });
   }
 
-  private boolean isOver(OrganisationId organisation, OwnerAccount account) {
-    Optional<Ownership> ownership = owners.ownership(organisation.value());
+  private boolean isOver(LimitPart part, OwnerAccount account) {
+    Optional<Ownership> ownership = owners.ownership(part.resource());
     return ownership.isEmpty()
         || !account.belongsTo(ownership.get())
-        || (table.shares(organisation).isEmpty() && !account.hasOpenPermits());
+        || (table.limit(part).isEmpty() && !account.hasOpenPermits());
   }
 
-  /** Returns the account of an organisation that this VM owns now. */
-  Optional<OwnerAccount> account(OrganisationId organisation) {
-    Optional<LimitShares> shares = table.shares(organisation);
-    Optional<Ownership> ownership = owners.ownership(organisation.value());
-    if (shares.isEmpty()
+  /** Returns the account of a part that this VM owns now. */
+  Optional<OwnerAccount> account(LimitPart part) {
+    Optional<RateLimit> limit = table.limit(part);
+    Optional<Ownership> ownership = owners.ownership(part.resource());
+    if (limit.isEmpty()
         || ownership.isEmpty()
         || ownership.get().untilMillis() <= time.nowMillis()) {
       return Optional.empty();
     }
-    OwnerAccount known = accounts.get(organisation);
+    OwnerAccount known = accounts.get(part);
     if (known == null || !known.belongsTo(ownership.get())) {
       long since = ownership.get().sinceMillis();
-      known = new OwnerAccount(shares.get().owner(), since, since);
-      accounts.put(organisation, known);
+      known = new OwnerAccount(limit.get(), since, since);
+      accounts.put(part, known);
     }
     return Optional.of(known);
   }
 
-  private void startEmpty(OrganisationId organisation, long now) {
-    RateLimit share = table.shares(organisation).orElseThrow().owner();
+  private void startEmpty(LimitPart part, long now) {
+    RateLimit share = table.limit(part).orElseThrow();
     owners
-        .ownership(organisation.value())
+        .ownership(part.resource())
         .ifPresent(
-            ownership ->
-                accounts.put(organisation, new OwnerAccount(share, ownership.sinceMillis(), now)));
+            ownership -> accounts.put(part, new OwnerAccount(share, ownership.sinceMillis(), now)));
   }
 
   private void close(VmId holder, Close close) {
-    OrganisationId organisation = permits.get(close.permitId());
-    Optional<OwnerAccount> found = organisation == null ? Optional.empty() : account(organisation);
+    LimitPart part = permits.get(close.permitId());
+    Optional<OwnerAccount> found = part == null ? Optional.empty() : account(part);
     if (found.isEmpty()) {
       return;
     }
     long now = time.nowMillis();
     OwnerAccount account = found.get();
     account.settle(now);
-    if (account.close(close.permitId(), holder, close.requests().size())) {
-      permits.remove(close.permitId());
-      close.requests().forEach(request -> count(account, request, now));
-    }
+    account
+        .close(holder, close)
+        .ifPresent(
+            used -> {
+              permits.remove(close.permitId());
+              used.forEach(request -> count(account, request, now));
+            });
   }
 
   private void count(OwnerAccount account, long request, long now) {
@@ -143,33 +143,36 @@
   }
 
   private Grant grant(VmId holder, Want want) {
-    Optional<OwnerAccount> found = account(want.organisation());
+    LimitPart part = new LimitPart(want.organisation(), want.part());
+    Optional<OwnerAccount> found = account(part);
     if (found.isEmpty()) {
       return Grant.notOwned(NOT_OWNED_RETRY_MILLIS);
     }
-    long until = owners.ownership(want.organisation().value()).orElseThrow().untilMillis();
+    long until = owners.ownership(part.resource()).orElseThrow().untilMillis();
     long remaining = ClockRate.shortened(until - time.nowMillis());
     if (remaining < LimitTimes.MIN_PERMIT_MILLIS) {
       return Grant.notOwned(NOT_OWNED_RETRY_MILLIS);
     }
     long duration = Math.min(LimitTimes.PERMIT_MILLIS, remaining);
-    return grant(holder, want, found.get(), (int) duration);
+    return grant(new Lender(holder, part, found.get()), want, (int) duration);
   }
 
-  private Grant grant(VmId holder, Want want, OwnerAccount account, int durationMillis) {
+  private Grant grant(Lender lender, Want want, int durationMillis) {
     long now = time.nowMillis();
+    OwnerAccount account = lender.account;
     account.settle(now);
     List<Integer> counted = counted(want.requests(), now);
     int waiting = want.requests().size() - counted.size();
     int spare = (int) Math.min(want.spareTokens(), account.spareTokens(waiting));
     long until = now + ClockRate.stretched(durationMillis);
-    int granted = account.open(nextPermitId, holder, waiting + spare, until);
+    List<Long> asked = counted.isEmpty() ? want.requests() : List.of();
+    int granted = account.open(nextPermitId, lender.holder, waiting + spare, until, asked);
     int retryAfter = granted < waiting ? retryAfter(account, now) : 0;
     boolean scarce = account.bucket().isScarce();
     if (granted == 0) {
       return new Grant(true, 0, 0, 0, scarce, retryAfter, counted);
     }
-    permits.put(nextPermitId, want.organisation());
+    permits.put(nextPermitId, lender.part);
     return new Grant(true, nextPermitId++, granted, durationMillis, scarce, retryAfter, counted);
   }
 
@@ -188,4 +191,6 @@
     long expiry = Math.max(1, account.nextExpiryMillis(now + refill) - now);
     return (int) Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(1, Math.min(refill, expiry)));
   }
+
+  private record Lender(VmId holder, LimitPart part, OwnerAccount account) {}
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitTable.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitTable.java
@@ -1,6 +1,8 @@
 package org.ragworttide.coordination.limits;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -29,6 +31,25 @@
     return Optional.ofNullable(shares.get(organisation));
   }
 
+  /** Returns the limit of a part, if the organisation has such a part. */
+  Optional<RateLimit> limit(LimitPart part) {
+    return shares(part.organisation())
+        .filter(split -> part.index() < split.parts())
+        .map(LimitShares::part);
+  }
+
+  /** Returns the parts of all organisations. */
+  List<LimitPart> parts() {
+    List<LimitPart> parts = new ArrayList<>(shares.size());
+    shares.forEach(
+        (organisation, split) -> {
+          for (int index = 0; index < split.parts(); index++) {
+            parts.add(new LimitPart(organisation, index));
+          }
+        });
+    return parts;
+  }
+
   Set<OrganisationId> organisations() {
     return shares.keySet();
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/Limits.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/Limits.java
@@ -1,7 +1,9 @@
 package org.ragworttide.coordination.limits;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.ragworttide.coordination.hash.Rendezvous;
 import org.ragworttide.coordination.id.Incarnation;
 import org.ragworttide.coordination.id.OrganisationId;
@@ -18,7 +20,8 @@
  * coordination thread only.
  */
 public final class Limits implements LimitCommands, LimitQueries {
-  private static final long FIRST_ID_MASK = (1L << 48) - 1;
+  private static final long FIRST_PERMIT_MASK = (1L << 41) - 1;
+  private static final long FIRST_ASK_MASK = (1L << 27) - 1;
 
   private final VmId self;
   private final Transport transport;
@@ -49,9 +52,10 @@
     this.transport = transport;
     this.time = time;
     this.table = new LimitTable(settings);
-    long firstId = incarnation.value() & FIRST_ID_MASK;
-    this.owner = new LimitOwner(time, owners, table, firstId + 1);
-    this.holder = new LimitHolder(self, time, owners, settings, tally, firstId);
+    long firstPermitId = 1 + (incarnation.value() & FIRST_PERMIT_MASK);
+    long firstAskId = 1 + (incarnation.value() & FIRST_ASK_MASK);
+    this.owner = new LimitOwner(time, owners, table, firstPermitId);
+    this.holder = new LimitHolder(self, time, owners, settings, tally, firstAskId);
     holder.sendWith(this::send);
     time.every(LimitTimes.SWEEP_PERIOD_MILLIS, this::sweep);
   }
@@ -104,12 +108,14 @@
 
   @Override
   public long ownedTokens(OrganisationId organisation) {
-    return owner
-        .account(organisation)
+    int parts = table.shares(organisation).map(LimitShares::parts).orElse(0);
+    return IntStream.range(0, parts)
+        .mapToObj(index -> owner.account(new LimitPart(organisation, index)))
+        .flatMap(Optional::stream)
         .map(OwnerAccount::bucket)
-        .map(bucket -> bucket.levelNanos() + bucket.outstandingNanos())
+        .mapToLong(bucket -> bucket.levelNanos() + bucket.outstandingNanos())
         .map(nanos -> nanos / RateLimit.NANOS_PER_TOKEN)
-        .orElse(0L);
+        .sum();
   }
 
   private void send(VmId to, LimitMessage.Ask ask) {
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/OwnerAccount.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/OwnerAccount.java
@@ -1,12 +1,15 @@
 package org.ragworttide.coordination.limits;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.LimitMessage.Close;
 
 /**
- * One organisation's tokens at its owner, for one unbroken ownership.
+ * The tokens of one part of a limit at its owner, for one unbroken ownership.
  *
  * <p>Invariant: level plus tokens of open permits never exceeds the owner's share of the burst. A
  * permit is closed once; what is not closed counts as outstanding until it has expired everywhere.
@@ -51,26 +54,30 @@
   }
 
   /** Opens a permit of up to the given tokens and returns how many it holds. */
-  int open(long permitId, VmId holder, int tokens, long untilMillis) {
+  int open(long permitId, VmId holder, int tokens, long untilMillis, List<Long> asked) {
     int granted = bucket.lend(tokens);
     if (granted > 0) {
-      OpenPermit permit = new OpenPermit(permitId, holder, granted, untilMillis);
+      OpenPermit permit = new OpenPermit(permitId, holder, granted, untilMillis, asked);
       open.put(permitId, permit);
       byExpiry.add(permit);
     }
     return granted;
   }
 
-  /** Closes a permit; returns whether it was open and the use is believable. */
-  boolean close(long permitId, VmId holder, int used) {
-    OpenPermit permit = open.get(permitId);
-    if (permit == null || !permit.holder.equals(holder) || used > permit.tokens) {
-      return false;
+  /** Closes a permit that is open and returns the requests that used it, if that is believable. */
+  Optional<List<Long>> close(VmId holder, Close close) {
+    OpenPermit permit = open.get(close.permitId());
+    if (permit == null || !permit.holder.equals(holder)) {
+      return Optional.empty();
     }
-    open.remove(permitId);
+    List<Long> used = close.usedAsAsked() ? permit.asked : close.requests();
+    if (used.size() > permit.tokens) {
+      return Optional.empty();
+    }
+    open.remove(permit.id);
     byExpiry.remove(permit);
-    bucket.settle(permit.tokens, permit.tokens - used);
-    return true;
+    bucket.settle(permit.tokens, permit.tokens - used.size());
+    return Optional.of(used);
   }
 
   boolean isOpen(long permitId) {
@@ -92,7 +99,7 @@
     return byExpiry.isEmpty() ? otherwise : byExpiry.peek().untilMillis;
   }
 
-  private record OpenPermit(long id, VmId holder, int tokens, long untilMillis)
+  private record OpenPermit(long id, VmId holder, int tokens, long untilMillis, List<Long> asked)
       implements Comparable<OpenPermit> {
     @Override
     public int compareTo(OpenPermit other) {
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/Permit.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/Permit.java
@@ -16,13 +16,15 @@
   private final VmId owner;
   private final int tokens;
   private final long untilMillis;
+  private final List<Long> asked;
   private final List<Long> uses = new ArrayList<>(1);
 
-  Permit(long id, VmId owner, int tokens, long untilMillis) {
+  Permit(long id, VmId owner, int tokens, long untilMillis, List<Long> asked) {
     this.id = id;
     this.owner = owner;
     this.tokens = tokens;
     this.untilMillis = untilMillis;
+    this.asked = asked;
   }
 
   /** Uses one token for the request; returns false if there is none or it has expired. */
@@ -51,6 +53,7 @@
   }
 
   Close close() {
-    return new Close(id, uses);
+    boolean asAsked = !uses.isEmpty() && uses.equals(asked);
+    return new Close(id, asAsked, asAsked ? List.of() : uses);
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/Waiter.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/Waiter.java
@@ -8,9 +8,12 @@
  * <p>Invariant: it is decided at most once. Not safe for use by several threads.
  */
 final class Waiter {
+  private static final int MAX_ASKED_PARTS = 2;
+
   private final long request;
   private final Consumer<LimitDecision> decision;
   private boolean decided;
+  private int offset;
 
   Waiter(long request, Consumer<LimitDecision> decision) {
     this.request = request;
@@ -21,6 +24,17 @@
     return request;
   }
 
+  /** Returns the part of the limit that is to be asked for this request. */
+  int part(int parts) {
+    return Math.floorMod(request + offset, parts);
+  }
+
+  /** Turns to another part; returns whether there is one that was not asked. */
+  boolean turnToNextPart(int parts) {
+    offset++;
+    return offset < Math.min(parts, MAX_ASKED_PARTS);
+  }
+
   boolean isDecided() {
     return decided;
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/message/LimitMessage.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/message/LimitMessage.java
@@ -46,17 +46,18 @@
    * Wish for tokens of one organisation.
    *
    * @param organisation whose tokens
+   * @param part which part of the organisation's limit, zero if it has only one
    * @param requests hashes of the requests that wait, one token each
    * @param spareTokens further tokens for requests to come
    */
-  record Want(OrganisationId organisation, List<Long> requests, int spareTokens) {
+  record Want(OrganisationId organisation, int part, List<Long> requests, int spareTokens) {
 
     /** Copies the list and checks the count. */
     public Want {
       Objects.requireNonNull(organisation, "organisation");
       requests = List.copyOf(requests);
-      if (spareTokens < 0) {
-        throw new IllegalArgumentException("spareTokens must not be negative");
+      if (part < 0 || spareTokens < 0) {
+        throw new IllegalArgumentException("part and spareTokens must not be negative");
       }
     }
   }
@@ -65,9 +66,10 @@
    * Ends a permit: what was not used goes back to the owner.
    *
    * @param permitId the permit
-   * @param requests hashes of the requests that used a token of it
+   * @param usedAsAsked whether exactly the requests that were asked for used its tokens
+   * @param requests else, hashes of the requests that used a token of it
    */
-  record Close(long permitId, List<Long> requests) {
+  record Close(long permitId, boolean usedAsAsked, List<Long> requests) {
 
     /** Copies the list. */
     public Close {
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitBoundTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitBoundTest.java
@@ -60,19 +60,19 @@
           }
         },
         VMS - 1,
-        0);
+        new LimitSettings(VMS, 0, 60_000));
   }
 
   @Test
   public void allFailuresTogetherMintNoTokens() {
-    everySeed(
-        (run, step) -> {
-          run.fleet.network.faults(0.1, 0.2, 500);
-          run.sometimes(
-              step, vm -> run.fleet.isolate(vm, true), vm -> run.fleet.isolate(vm, false));
-          run.sometimes(step, vm -> run.fleet.clock(vm).pause(), run::resume);
-          run.sometimes(step, run.fleet::start, vm -> {});
-        });
+    everySeed(LimitBoundTest::allFailures);
+  }
+
+  @Test
+  public void allFailuresTogetherMintNoTokensOverSplitLimits() {
+    LimitSettings split = LimitSettings.of(5 * VMS);
+    assertTrue(LimitShares.of(TABLE.get(LARGE), split).parts() > 1);
+    everySeed(LimitBoundTest::allFailures, VMS, split);
   }
 
   @Test
@@ -86,14 +86,21 @@
     }
   }
 
+  private static void allFailures(Run run, int step) {
+    run.fleet.network.faults(0.1, 0.2, 500);
+    run.sometimes(step, vm -> run.fleet.isolate(vm, true), vm -> run.fleet.isolate(vm, false));
+    run.sometimes(step, vm -> run.fleet.clock(vm).pause(), run::resume);
+    run.sometimes(step, run.fleet::start, vm -> {});
+  }
+
   private static void everySeed(BiConsumer<Run, Integer> failures) {
-    everySeed(failures, VMS, LimitSettings.DEFAULT_RESERVE_SHARE);
+    everySeed(failures, VMS, LimitSettings.of(VMS));
   }
 
   private static void everySeed(
-      BiConsumer<Run, Integer> failures, int owningVms, double reserveShare) {
+      BiConsumer<Run, Integer> failures, int owningVms, LimitSettings settings) {
     for (long seed = SEED; seed < SEED + SEEDS; seed++) {
-      Run run = new Run(seed, owningVms, reserveShare);
+      Run run = new Run(seed, owningVms, settings);
       for (int step = 0; step < STEPS; step++) {
         failures.accept(run, step);
         run.step();
@@ -117,9 +124,9 @@
     private int admitted;
     private int nextRequest;
 
-    private Run(long seed, int owningVms, double reserveShare) {
+    private Run(long seed, int owningVms, LimitSettings settings) {
       random = new SplittableRandom(seed);
-      fleet = new LimitFleet(seed, VMS, new LimitSettings(VMS, reserveShare, 60_000));
+      fleet = new LimitFleet(seed, VMS, settings);
       fleet.apply(TABLE);
       fleet.owners.hintLag(random.nextInt(800));
       long from = 0;
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.ragworttide.coordination.id.Incarnation;
 import org.ragworttide.coordination.id.OrganisationId;
 import org.ragworttide.coordination.id.VmId;
@@ -111,9 +112,25 @@
             });
   }
 
-  /** Lets one VM own all organisations of the table from one base time to another. */
+  /**
+   * Lets a VM own the first part of every limit from one base time to another, and the next VMs in
+   * order the other parts.
+   */
   public void own(VmId vm, long fromMillis, long toMillis) {
-    table.keySet().forEach(id -> owners.hold(id.value(), vm, fromMillis, toMillis));
+    for (OrganisationId id : table.keySet()) {
+      int owner = vms.indexOf(vm);
+      for (String resource : resources(id)) {
+        owners.hold(resource, vms.get(owner++ % vms.size()), fromMillis, toMillis);
+      }
+    }
+  }
+
+  /** Returns the names under which the parts of an organisation's limit have owners. */
+  public List<String> resources(OrganisationId organisation) {
+    int parts = LimitShares.of(table.get(organisation), settings).parts();
+    return IntStream.range(0, parts)
+        .mapToObj(index -> new LimitPart(organisation, index).resource())
+        .toList();
   }
 
   /** Returns the limits of a VM. */
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitOwnerTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitOwnerTest.java
@@ -18,6 +18,7 @@
 /** Tests the owner's side alone. */
 public class LimitOwnerTest {
   private static final OrganisationId HOTEL = new OrganisationId("hotel");
+  private static final LimitPart HOTEL_PART = new LimitPart(HOTEL, 0);
   private static final VmId HOLDER = new VmId("holder");
   private static final int FULL_AFTER_MILLIS = 10_000;
 
@@ -41,7 +42,7 @@
     LimitMessage.Grant grant = ask(1, List.of());
     long slowestEnd = grant.durationMillis() * 1_001L / 999;
     time.advance(slowestEnd);
-    OwnerAccount account = owner.account(HOTEL).orElseThrow();
+    OwnerAccount account = owner.account(HOTEL_PART).orElseThrow();
     account.settle(time.nowMillis());
     assertTrue(account.hasOpenPermits());
     time.advance(10);
@@ -65,10 +66,10 @@
   @Test
   public void closeReturnsUnusedTokensOnce() {
     LimitMessage.Grant grant = ask(3, List.of());
-    LimitMessage.Close close = new LimitMessage.Close(grant.permitId(), List.of(1L));
+    LimitMessage.Close close = new LimitMessage.Close(grant.permitId(), false, List.of(1L));
     ask(0, List.of(close));
     ask(0, List.of(close));
-    TokenBucket bucket = owner.account(HOTEL).orElseThrow().bucket();
+    TokenBucket bucket = owner.account(HOTEL_PART).orElseThrow().bucket();
     assertEquals(bucket.outstandingNanos(), 0);
     assertEquals(bucket.wholeTokens(), 3);
   }
@@ -76,14 +77,14 @@
   @Test
   public void closeOfAnotherHolderIsIgnored() {
     LimitMessage.Grant grant = ask(3, List.of());
-    LimitMessage.Close close = new LimitMessage.Close(grant.permitId(), List.of());
+    LimitMessage.Close close = new LimitMessage.Close(grant.permitId(), false, List.of());
     owner.answer(new VmId("other"), new LimitMessage.Ask(9, List.of(), List.of(close)));
-    assertEquals(owner.account(HOTEL).orElseThrow().bucket().wholeTokens(), 1);
+    assertEquals(owner.account(HOTEL_PART).orElseThrow().bucket().wholeTokens(), 1);
   }
 
   private LimitMessage.Grant ask(int tokens, List<LimitMessage.Close> closes) {
     List<Long> requests = LongStream.range(0, tokens).boxed().toList();
-    LimitMessage.Want want = new LimitMessage.Want(HOTEL, requests, 0);
+    LimitMessage.Want want = new LimitMessage.Want(HOTEL, 0, requests, 0);
     return owner.answer(HOLDER, new LimitMessage.Ask(1, List.of(want), closes)).grants().getFirst();
   }
 
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitsTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitsTest.java
@@ -233,6 +233,21 @@
     assertFalse(decisions.stream().anyMatch(LimitDecision.Refused.class::isInstance));
   }
 
+  @Test
+  public void requestIsAdmittedByAnotherPartWhenOnePartIsEmpty() {
+    fleet = new LimitFleet(1, 3, new LimitSettings(30, 0, 60_000), this::note);
+    fleet.apply(Map.of(HOTEL, new RateLimit(40, 40)));
+    assertEquals(fleet.resources(HOTEL), List.of("hotel", "hotel#1"));
+    fleet.own(vm(0), 0, FOREVER_MILLIS);
+    fleet.time.advance(20_000);
+    for (int i = 0; i < 39; i++) {
+      fleet.request(vm(2), HOTEL, "r" + i, decisions::add);
+    }
+    fleet.time.advance(100);
+    assertFalse(decisions.stream().anyMatch(LimitDecision.Refused.class::isInstance));
+    assertEquals(decisions.size(), 39);
+  }
+
   @Test
   public void unknownOrganisationIsRefused() {
     fleet.request(vm(0), new OrganisationId("nobody"), "a", decisions::add);
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/TokenBucketTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/TokenBucketTest.java
@@ -37,15 +37,15 @@
   public void sharesNeverExceedTheLimit() {
     RateLimit limit = new RateLimit(37, 113);
     LimitShares shares = LimitShares.of(limit, LimitSettings.of(7));
-    assertEquals(shares.owner().burst() + 7 * shares.reserve().burst(), 113.0, 1e-9);
-    assertEquals(shares.owner().ratePerSecond() + 7 * shares.reserve().ratePerSecond(), 37, 1e-9);
+    assertEquals(shares.part().burst() + 7 * shares.reserve().burst(), 113.0, 1e-9);
+    assertEquals(shares.part().ratePerSecond() + 7 * shares.reserve().ratePerSecond(), 37, 1e-9);
   }
 
   @Test
   public void ownerHasEverythingWhereReservesWouldHoldNoWholeToken() {
     RateLimit limit = new RateLimit(2, 6);
     LimitShares shares = LimitShares.of(limit, LimitSettings.of(350));
-    assertEquals(shares.owner(), limit);
+    assertEquals(shares.part(), limit);
     assertEquals(shares.reserve(), RateLimit.NOTHING);
   }
 
@@ -56,4 +56,13 @@
       assertTrue(permit == 0 || ClockRate.stretched(permit) <= remaining, "remaining " + remaining);
     }
   }
+
+  @Test
+  public void partsNeverExceedTheLimit() {
+    RateLimit limit = new RateLimit(300, 95);
+    LimitShares shares = LimitShares.of(limit, LimitSettings.of(350));
+    assertEquals(shares.parts(), 9);
+    assertTrue(shares.parts() * shares.part().burstNanos() <= limit.burstNanos());
+    assertTrue(shares.parts() * shares.part().rateNanosPerMilli() <= limit.rateNanosPerMilli());
+  }
 }
--- a/protocol/src/main/java/org/ragworttide/protocol/LimitCodec.java
+++ b/protocol/src/main/java/org/ragworttide/protocol/LimitCodec.java
@@ -54,12 +54,16 @@
       wire.addWants(
           LimitWant.newBuilder()
               .setOrganisation(want.organisation().value())
+              .setPart(want.part())
               .addAllRequests(want.requests())
               .setSpareTokens(want.spareTokens()));
     }
     for (Close close : ask.closes()) {
       wire.addCloses(
-          LimitClose.newBuilder().setPermitId(close.permitId()).addAllRequests(close.requests()));
+          LimitClose.newBuilder()
+              .setPermitId(close.permitId())
+              .setUsedAsAsked(close.usedAsAsked())
+              .addAllRequests(close.requests()));
     }
     return wire.build();
   }
@@ -92,11 +96,13 @@
     boolean usable =
         WireChecks.isId(wire.getOrganisation())
             && wire.getRequestsCount() <= MAX_ENTRIES
-            && isWithin(wire.getSpareTokens(), MAX_TOKENS);
+            && isWithin(wire.getSpareTokens(), MAX_TOKENS)
+            && isWithin(wire.getPart(), MAX_ENTRIES);
     return usable
         ? Optional.of(
             new Want(
                 new OrganisationId(wire.getOrganisation()),
+                wire.getPart(),
                 wire.getRequestsList(),
                 wire.getSpareTokens()))
         : Optional.empty();
@@ -104,7 +110,7 @@
 
   private static Optional<Close> fromWire(LimitClose wire) {
     return wire.getRequestsCount() <= MAX_TOKENS
-        ? Optional.of(new Close(wire.getPermitId(), wire.getRequestsList()))
+        ? Optional.of(new Close(wire.getPermitId(), wire.getUsedAsAsked(), wire.getRequestsList()))
         : Optional.empty();
   }
 
--- a/protocol/src/test/java/org/ragworttide/protocol/CoordinationCodecTest.java
+++ b/protocol/src/test/java/org/ragworttide/protocol/CoordinationCodecTest.java
@@ -41,8 +41,8 @@
         List.of(
             new LimitMessage.Ask(
                 1L << 47,
-                List.of(new LimitMessage.Want(hotel, List.of(-1L, 5L), 3)),
-                List.of(new LimitMessage.Close(9, List.of(7L)))),
+                List.of(new LimitMessage.Want(hotel, 2, List.of(-1L, 5L), 3)),
+                List.of(new LimitMessage.Close(9, true, List.of(7L)))),
             new LimitMessage.Answer(
                 2,
                 List.of(
