Reserve a tenth, and compare with fixed shares of the most VMs that may run

Bursts and surges are daily, lost owners and partitions rare, so the default goes from 0.2 to 0.1; an embedder may choose. The baseline divided by the VMs that run, which is not safe when one more starts; it now divides by the most that may run.

--- a/bench/src/main/java/org/ragworttide/bench/coordination/FixedShares.java
+++ b/bench/src/main/java/org/ragworttide/bench/coordination/FixedShares.java
@@ -8,7 +8,8 @@
 /**
  * The baseline: each VM admits its equal part of rate and burst on its own.
  *
- * <p>Not safe for use by several threads.
+ * <p>Invariant: the parts are those of the most VMs that may run, as the bound needs. Not safe for
+ * use by several threads.
  */
 final class FixedShares {
   private final Map<OrganisationId, RateLimit> table;
--- a/bench/src/main/java/org/ragworttide/bench/coordination/LimitTrial.java
+++ b/bench/src/main/java/org/ragworttide/bench/coordination/LimitTrial.java
@@ -56,7 +56,7 @@
           fixedChecker.limit(id, limit, 0);
         });
     fleet.apply(table);
-    fixed = new FixedShares(table, size.vms());
+    fixed = new FixedShares(table, maxVms);
     scriptOwners();
   }
 
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitSettings.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitSettings.java
@@ -11,7 +11,7 @@
  */
 public record LimitSettings(int maxEntryVms, double reserveShare, long retryWindowMillis) {
   /** The part of rate and burst that is reserved when nothing else is asked for. */
-  public static final double DEFAULT_RESERVE_SHARE = 0.2;
+  public static final double DEFAULT_RESERVE_SHARE = 0.1;
 
   /** How long a retry of one request counts once when nothing else is asked for. */
   public static final long DEFAULT_RETRY_WINDOW_MILLIS = 60_000;
--- a/coordination/src/test/java/org/ragworttide/coordination/versions/VersionsTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/versions/VersionsTest.java
@@ -163,6 +163,36 @@
     assertEquals(versions.counters().rejected(), 1);
   }
 
+  @Test
+  public void partsOfAnotherDocumentThanTheAnnouncedOneAreRejected() {
+    SpreadFleet fleet = spread(SEED, 3, 1);
+    fleet.platformDown(true);
+    VmId liar = fleet.vms.get(1);
+    Versions versions = fleet.at(fleet.vms.getFirst());
+    byte[] other = SpreadFleet.document(2, 100);
+    for (int i = 0; i < 2; i++) {
+      versions.receive(liar, new VersionMessage.Announce(2, FORGED, other.length, List.of()));
+    }
+    versions.receive(liar, new VersionMessage.Chunk(2, 0, other));
+    assertEquals(versions.version(), 1);
+    assertEquals(versions.counters().rejected(), 1);
+  }
+
+  @Test
+  public void peerWithAnOlderVersionIsToldTheNewerOneAtOnce() {
+    SpreadFleet fleet = spread(SEED, 3, 1);
+    VmId behind = fleet.vms.get(1);
+    VmId ahead = fleet.vms.get(2);
+    fleet.split(List.of(behind), List.of(fleet.vms.getFirst(), ahead), true);
+    fleet.publish(2, SpreadFleet.document(2, DOCUMENT_BYTES));
+    fleet.read(ahead);
+    fleet.split(List.of(behind), List.of(ahead), false);
+    DocumentDigest old = DocumentDigest.of(SpreadFleet.document(1, DOCUMENT_BYTES));
+    fleet.at(ahead).receive(behind, new VersionMessage.Announce(1, old, 9, List.of()));
+    fleet.time.advance(20);
+    assertEquals(fleet.at(behind).version(), 2);
+  }
+
   @Test
   public void manyVersionsNeverGoBackUnderAllFailures() {
     for (long seed = SEED; seed < SEED + SEEDS; seed++) {
