Measure routing, queueing, cold starts and failures; set the queue by it

The test of saved credit now sets a burst of one and still requires that an idle organisation saves up no more; the test of probes requires three.

Run: ./build verify -pl bench -am, all pass. On a scratch copy the tests failed for credit without end, an estimate that counts all that waits, and a breaker that closes at the first answer.

--- /dev/null
+++ b/bench/src/main/java/org/ragworttide/bench/routing/BaselineStrategy.java
@@ -0,0 +1,73 @@
+package org.ragworttide.bench.routing;
+
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import org.ragworttide.coordination.hash.Rendezvous;
+
+/** The usual ways that the router is compared with; confined to one thread. */
+final class BaselineStrategy implements Strategy {
+
+  /** The way of choosing. */
+  enum Kind {
+    PLAIN_RENDEZVOUS,
+    RANDOM,
+    LEAST_LOADED
+  }
+
+  private final Kind kind;
+  private final SplittableRandom random;
+  private final boolean[][] open;
+  private final int[][] own;
+  private final int[] reported;
+  private final long[] hashes;
+
+  BaselineStrategy(Kind kind, Size size, long seed) {
+    this.kind = kind;
+    this.random = new SplittableRandom(seed);
+    this.open = new boolean[size.daemons()][size.engines()];
+    this.own = new int[size.daemons()][size.engines()];
+    this.reported = new int[size.engines()];
+    this.hashes = new long[size.engines()];
+    for (int engine = 0; engine < hashes.length; engine++) {
+      hashes[engine] = Rendezvous.hash(RouterStrategy.id(engine).value());
+    }
+    for (boolean[] row : open) {
+      Arrays.fill(row, true);
+    }
+  }
+
+  @Override
+  public Choice choose(int daemon, int chat) {
+    long key = Rendezvous.hash("chat-" + chat);
+    int best = -1;
+    double bestScore = Double.NEGATIVE_INFINITY;
+    for (int engine = 0; engine < hashes.length; engine++) {
+      double score =
+          switch (kind) {
+            case PLAIN_RENDEZVOUS -> Rendezvous.weight(key, hashes[engine]);
+            case RANDOM -> random.nextDouble();
+            case LEAST_LOADED -> -reported[engine] - own[daemon][engine] + random.nextDouble();
+          };
+      if (open[daemon][engine] && score > bestScore) {
+        best = engine;
+        bestScore = score;
+      }
+    }
+    if (best < 0) {
+      return null;
+    }
+    int engine = best;
+    own[daemon][engine]++;
+    return new Choice(engine, () -> own[daemon][engine]--);
+  }
+
+  @Override
+  public void report(int engine, long incarnation, long measuredAtMillis, int load) {
+    reported[engine] = load;
+  }
+
+  @Override
+  public void open(int daemon, boolean[] nowOpen) {
+    open[daemon] = nowOpen.clone();
+  }
+}
--- a/coordination/src/main/java/org/ragworttide/coordination/admission/ColdUpstream.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/ColdUpstream.java
@@ -132,7 +132,10 @@
     permits.remove(permit);
   }
 
-  /** Raises the level by what was proved, or lowers it after a failure. */
+  /**
+   * Raises the level when as many answers as it allows have begun, so that the permits of one
+   * generation of answers prove the upstream warm, or lowers it after a failure.
+   */
   void feedback(int succeeded, int failed) {
     if (failed > 0) {
       level = (level + 1) / 2;
@@ -141,7 +144,6 @@
     }
     proofs += succeeded;
     while (!warm && proofs >= level) {
-      proofs -= level;
       if (level >= coldLimit) {
         warm = true;
       } else {
--- a/coordination/src/main/java/org/ragworttide/coordination/queueing/FairQueue.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/queueing/FairQueue.java
@@ -46,7 +46,7 @@
 
   /** Queues a request, or says at once why it is refused. */
   public Offer<T> offer(Work work, T attachment) {
-    long wait = estimatedWaitMillis(work.organisation());
+    long wait = estimatedWaitMillis(work.organisation(), work.cost());
     if (!work.canFinish(time.nowMillis() + wait)) {
       return new Offer.Refused<>(QueueRefusal.TOO_LATE, wait);
     }
@@ -55,9 +55,7 @@
     }
     OrganisationQueue<T> queue =
         organisations.computeIfAbsent(work.organisation(), id -> new OrganisationQueue<>());
-    if (queue.size() == 0) {
-      queue.catchUp(virtualTime);
-    }
+    queue.catchUp(earliestStart(work.cost()));
     Entry<T> entry = new Entry<>(work, attachment);
     queue.add(entry);
     size++;
@@ -83,7 +81,7 @@
         refuse(queue, entry, QueueRefusal.TOO_LATE);
       } else if (taker.test(entry)) {
         leave(queue, entry);
-        virtualTime = queue.virtualStart();
+        virtualTime = Math.max(virtualTime, queue.virtualStart());
         queue.charge(entry.work().cost());
         rate.dispatched(time.nowMillis());
         taken++;
@@ -134,18 +132,24 @@
   }
 
   /** Returns how long a further request of the organisation would wait at the current rate. */
-  public long estimatedWaitMillis(OrganisationId organisation) {
+  public long estimatedWaitMillis(OrganisationId organisation, double cost) {
     if (size == 0) {
       return 0;
     }
-    int own = size(organisation);
-    long ahead = 0;
+    OrganisationQueue<T> own = organisations.get(organisation);
+    double earliest = earliestStart(cost);
+    double start = own == null ? earliest : own.startOfNext(cost, earliest);
+    long ahead = own == null ? 0 : own.size();
     for (OrganisationQueue<T> queue : organisations.values()) {
-      ahead += Math.min(queue.size(), own + 1);
+      ahead += queue == own ? 0 : queue.startingBefore(start);
     }
     return rate.millisFor(ahead);
   }
 
+  private double earliestStart(double cost) {
+    return virtualTime - settings.burstRequests() * cost;
+  }
+
   private OrganisationQueue<T> next() {
     OrganisationQueue<T> best = null;
     for (OrganisationQueue<T> queue : organisations.values()) {
--- a/coordination/src/main/java/org/ragworttide/coordination/queueing/OrganisationQueue.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/queueing/OrganisationQueue.java
@@ -15,6 +15,7 @@
   private final Map<Priority, Deque<Entry<T>>> entries = new EnumMap<>(Priority.class);
   private int size;
   private double virtualStart;
+  private double lastCost = 1;
 
   OrganisationQueue() {
     for (Priority priority : Priority.values()) {
@@ -40,8 +41,20 @@
     virtualStart += cost;
   }
 
+  /** Returns when a further request of the given cost would start. */
+  double startOfNext(double cost, double earliest) {
+    return Math.max(virtualStart, earliest) + size * cost;
+  }
+
+  /** Returns how many waiting requests start before the given virtual time. */
+  long startingBefore(double virtualTime) {
+    double before = Math.ceil((virtualTime - virtualStart) / lastCost);
+    return (long) Math.max(0, Math.min(size, before));
+  }
+
   void add(Entry<T> entry) {
     entries.get(entry.work().priority()).add(entry);
+    lastCost = entry.work().cost();
     size++;
   }
 
--- a/coordination/src/main/java/org/ragworttide/coordination/queueing/QueueSettings.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/queueing/QueueSettings.java
@@ -3,20 +3,22 @@
 /**
  * The bounds of a fair queue.
  *
- * <p>Invariant: both are positive. Immutable, safe for use by any thread.
+ * <p>Invariant: the bounds are positive, the credit is not negative. Immutable, safe for use by any
+ * thread.
  *
  * @param maxEntries requests that wait at most, over all organisations
  * @param rateWindowMillis over which the rate of dispatch is measured
+ * @param burstRequests requests that an organisation may send in a burst after it was idle
  */
-public record QueueSettings(int maxEntries, long rateWindowMillis) {
+public record QueueSettings(int maxEntries, long rateWindowMillis, int burstRequests) {
 
   /** The bounds for one entry daemon. */
-  public static final QueueSettings DEFAULTS = new QueueSettings(2_000, 5_000);
+  public static final QueueSettings DEFAULTS = new QueueSettings(2_000, 5_000, 4);
 
-  /** Checks that both are positive. */
+  /** Checks the ranges. */
   public QueueSettings {
-    if (maxEntries <= 0 || rateWindowMillis <= 0) {
-      throw new IllegalArgumentException("bounds must be positive");
+    if (maxEntries <= 0 || rateWindowMillis <= 0 || burstRequests < 0) {
+      throw new IllegalArgumentException("bounds out of range");
     }
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/queueing/Work.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/queueing/Work.java
@@ -11,7 +11,7 @@
  *
  * @param organisation whose request it is
  * @param priority its place among the organisation's own requests
- * @param cost its work, in any unit that is the same for all requests
+ * @param cost its work divided by the organisation's weight, such as its configured rate
  * @param deadlineMillis when its answer must be whole, in the time of the timer service
  * @param expectedMillis how long its answer takes once it is sent
  */
--- a/coordination/src/main/java/org/ragworttide/coordination/retry/BreakerSettings.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/retry/BreakerSettings.java
@@ -20,7 +20,7 @@
     int probesPerSecond) {
 
   /** The settings of an entry daemon. */
-  public static final BreakerSettings DEFAULTS = new BreakerSettings(1, 1, 1_000, 30_000, 2);
+  public static final BreakerSettings DEFAULTS = new BreakerSettings(1, 3, 1_000, 30_000, 2);
 
   /** Checks the ranges. */
   public BreakerSettings {
--- a/coordination/src/test/java/org/ragworttide/coordination/queueing/FairQueueTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/queueing/FairQueueTest.java
@@ -42,7 +42,7 @@
   public void createQueue() {
     time = new ManualTimerService();
     refusals = new ArrayList<>();
-    queue = new FairQueue<>(time, new QueueSettings(10, 1_000), (e, why) -> refusals.add(why));
+    queue = new FairQueue<>(time, new QueueSettings(10, 1_000, 1), (e, why) -> refusals.add(why));
   }
 
   private static Work work(OrganisationId organisation, long deadline, long expected) {
@@ -65,7 +65,7 @@
   }
 
   @Test
-  public void idleOrganisationSavesUpNoCredit() {
+  public void idleOrganisationSavesUpNoMoreThanOneBurst() {
     for (int round = 0; round < 20; round++) {
       queue.offer(work(LOUD, FAR, 0), round);
       takeAll();
@@ -151,7 +151,7 @@
   public void surgingOrganisationsLeaveOthersTheirShare(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
     FairQueue<Integer> shared =
-        new FairQueue<>(time, new QueueSettings(200, 1_000), (entry, why) -> {});
+        new FairQueue<>(time, new QueueSettings(200, 1_000, 1), (entry, why) -> {});
     Map<OrganisationId, Integer> offered = new HashMap<>();
     Map<OrganisationId, Integer> served = new HashMap<>();
     for (int tick = 0; tick < 4_000; tick++) {
--- a/coordination/src/test/java/org/ragworttide/coordination/retry/RetryTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/retry/RetryTest.java
@@ -80,8 +80,14 @@
     time.advance(1_000);
     assertTrue(breakers.tryEnter(ENGINE));
     assertFalse(breakers.tryEnter(ENGINE));
-    breakers.outcome(ENGINE, AttemptOutcome.ANSWERED);
-    breakers.leave(ENGINE);
+    for (int probe = 0; probe < BreakerSettings.DEFAULTS.closeSuccesses(); probe++) {
+      assertFalse(breakers.isClosed(ENGINE));
+      breakers.outcome(ENGINE, AttemptOutcome.ANSWERED);
+      breakers.leave(ENGINE);
+      time.advance(1_000);
+      assertTrue(breakers.tryEnter(ENGINE));
+    }
+    assertTrue(breakers.isClosed(ENGINE));
     assertTrue(breakers.tryEnter(ENGINE) && breakers.tryEnter(ENGINE));
   }
 
