--- a/coordination/src/test/java/org/ragworttide/coordination/claims/ClaimFailureTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/claims/ClaimFailureTest.java
@@ -87,4 +87,56 @@
           }
         });
   }
+
+  @Test
+  public void slowClaimantDoesNotCountVotesOfAnEarlierRunBesideNewerOnes() {
+    ClaimFleet claims = ClaimFleet.started(1, "a", "b", "c", "d", "e");
+    cutFromA(claims, true, "c", "d", "e");
+    claims.claim("a", "key");
+    claims.run(10);
+    claims.fleet().restart(new VmId("b"), 1);
+    claims.run(140);
+    cutFromA(claims, false, "c");
+    claims.run(100);
+    claims.claim("e", "key");
+    claims.run(1_500);
+  }
+
+  private static void cutFromA(ClaimFleet claims, boolean cut, String... vms) {
+    for (String vm : vms) {
+      claims.fleet().network().cut(new VmId("a"), new VmId(vm), cut);
+      claims.fleet().network().cut(new VmId(vm), new VmId("a"), cut);
+    }
+  }
+
+  @Test
+  public void keyRunsOnceWhenTheGroupShrinks() {
+    Seeds.each(
+        seed -> {
+          ClaimFleet claims = ClaimFleet.started(seed, "a", "b", "c", "d", "e");
+          cutFromA(claims, true, "b");
+          claims.claim("a", "key");
+          claims.run(100);
+          claims.fleet().publish("a", "b", "c", "d");
+          claims.fleet().publish("b", "c", "d");
+          claims.fleet().adoptAll();
+          claims.decide("b", "key");
+          claims.decide("c", "key");
+        });
+  }
+
+  @Test
+  public void frozenClaimantThatWakesUpIsNotGrantedAgain() {
+    Seeds.each(
+        seed -> {
+          ClaimFleet claims = ClaimFleet.started(seed, SEVEN);
+          claims.claim("a", "key");
+          claims.run(claims.fleet().random().nextInt(8));
+          claims.fleet().timers(new VmId("a")).pause();
+          claims.decide("b", "key");
+          claims.run(claims.fleet().random().nextInt(1_000));
+          claims.fleet().timers(new VmId("a")).resume();
+          claims.run(1_500);
+        });
+  }
 }
