--- a/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseQueries.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseQueries.java
@@ -19,10 +19,7 @@
   /** Returns when this VM's lease expires on its own clock, or the present time without a lease. */
   long leaseExpiresAtMillis(Shard shard);
 
-  /**
-   * Returns since when this VM has owned the shard without a gap, or the present time without a
-   * lease.
-   */
+  /** Returns since when this VM has owned the shard without a break, or the present time. */
   long ownedSinceMillis(Shard shard);
 
   /**
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.ragworttide.coordination.id.Incarnation;
 import org.ragworttide.coordination.id.OrganisationId;
@@ -13,6 +14,7 @@
 import org.ragworttide.coordination.message.PeerMessage;
 import org.ragworttide.coordination.message.Transport;
 import org.ragworttide.coordination.net.FakeNetwork;
+import org.ragworttide.coordination.net.MessageTap;
 import org.ragworttide.coordination.net.VmClock;
 import org.ragworttide.coordination.time.ManualTimerService;
 
@@ -43,16 +45,16 @@
   private final Map<VmId, VmClock> clocks = new HashMap<>();
   private final LimitSettings settings;
   private final SplittableRandom random;
-  private final Consumer<PeerMessage> tap;
+  private final MessageTap tap;
   private Map<OrganisationId, RateLimit> table = Map.of();
 
   /** Creates a fleet of the given number of VMs. */
   public LimitFleet(long seed, int size, LimitSettings settings) {
-    this(seed, size, settings, message -> {});
+    this(seed, size, settings, (from, to, message) -> {});
   }
 
   /** Creates a fleet whose messages are shown to a tap. */
-  public LimitFleet(long seed, int size, LimitSettings settings, Consumer<PeerMessage> tap) {
+  public LimitFleet(long seed, int size, LimitSettings settings, MessageTap tap) {
     this.random = new SplittableRandom(seed);
     this.network = new FakeNetwork(time, random.nextLong());
     this.settings = settings;
@@ -75,7 +77,7 @@
         network.connect(vm, clock.guard((from, message) -> take(vm, from, message)));
     Transport tapped =
         (to, message) -> {
-          tap.accept(message);
+          tap.sent(vm, to, message);
           transport.send(to, message);
         };
     clocks.put(vm, clock);
@@ -85,7 +87,7 @@
 
   /** Puts limits in force on all VMs at once. */
   public void apply(Map<OrganisationId, RateLimit> newTable) {
-    table = Map.copyOf(newTable);
+    table = new TreeMap<>(newTable);
     table.forEach((id, limit) -> checker.limit(id, limit, time.nowMillis()));
     limits.values().forEach(each -> each.apply(table));
   }
