--- a/bench/src/main/java/org/ragworttide/bench/Main.java
+++ b/bench/src/main/java/org/ragworttide/bench/Main.java
@@ -13,8 +13,10 @@
   private static final Map<String, ToIntFunction<String[]>> COMMANDS =
       new TreeMap<>(
           Map.of(
-              "coordination", options -> run(new CoordinationBenchmark()),
-              "routing", RoutingBench::run));
+              "coordination",
+              options -> run(new CoordinationBenchmark()),
+              "routing",
+              RoutingBench::run));
 
   private Main() {}
 
--- a/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
@@ -225,6 +225,10 @@
     return Math.max(now, expiresAtMillis.getOrDefault(shard, now));
   }
 
+  long ownedSinceMillis(int shard) {
+    return isOwner(shard) ? ownedSinceMillis.get(shard) : timers.nowMillis();
+  }
+
   List<Shard> owned() {
     return expiresAtMillis.keySet().stream().filter(this::isOwner).map(Shard::new).toList();
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseQueries.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseQueries.java
@@ -19,6 +19,12 @@
   /** Returns when this VM's lease expires on its own clock, or the present time without a lease. */
   long leaseExpiresAtMillis(Shard shard);
 
+  /**
+   * Returns since when this VM has owned the shard without a gap, or the present time without a
+   * lease.
+   */
+  long ownedSinceMillis(Shard shard);
+
   /**
    * Returns whom to ask for the shard: the owner if this VM knows it, else the preferred owner; a
    * hint without any promise.
