--- a/coordination/src/test/java/org/ragworttide/coordination/admission/ColdAdmissionTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/admission/ColdAdmissionTest.java
@@ -62,6 +62,22 @@
     }
   }
 
+  @Test(dataProvider = "seeds")
+  public void crashesAndOwnerChangesTogetherStayWithinColdLimit(long seed) {
+    AdmissionFixture f = new AdmissionFixture(DAEMONS, seed);
+    f.network.faults(0.1, 0.1, 400);
+    f.firstTokenMillis = 100_000;
+    for (int change = 0; change < 8; change++) {
+      run(f, 1_000 * (1 + f.random.nextInt(4)), f.random.nextInt(DAEMONS));
+      if (f.random.nextBoolean()) {
+        f.crash();
+        f.incarnation++;
+      }
+      letLeaseEnd(f);
+    }
+    assertTrue(f.highest > 0 && f.highest <= COLD_LIMIT, f.highest + " seed " + seed);
+  }
+
   @Test(dataProvider = "seeds")
   public void levelRisesUntilUpstreamIsWarmEverywhere(long seed) {
     AdmissionFixture f = new AdmissionFixture(DAEMONS, seed);
