--- a/bench/src/main/java/org/ragworttide/bench/routing/PartBenches.java
+++ b/bench/src/main/java/org/ragworttide/bench/routing/PartBenches.java
@@ -10,6 +10,7 @@
   private static final double SERVED_SHARE = 0.99;
   private static final double WRONGFUL_SHARE = 0.001;
   private static final double ENDED_SHARE = 0.001;
+  private static final double MEMORY_BYTES = 16 * 1_024 * 1_024;
   private static final double NODE_BYTES_PER_SECOND = 4_096;
   private static final List<BreakerSettings> BREAKERS =
       List.of(
@@ -73,6 +74,13 @@
     }
   }
 
+  static void memory(Size size, Results results) throws InterruptedException {
+    long bytes = MemoryBench.bytesPerDaemon(size.engines());
+    results.print(
+        Results.line("size", size.name(), "engines", size.engines(), "bytesPerDaemon", bytes));
+    results.atMost(size.name() + "/memory/bytesPerDaemon", bytes, MEMORY_BYTES);
+  }
+
   static void failure(Size size, int seeds, long firstSeed, Results results) {
     for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
       for (BreakerSettings settings : BREAKERS) {
--- a/bench/src/main/java/org/ragworttide/bench/routing/RoutingBench.java
+++ b/bench/src/main/java/org/ragworttide/bench/routing/RoutingBench.java
@@ -30,7 +30,8 @@
     Options options = new Options();
     options.addOption(null, "size", true, "today or target; both when left out");
     options.addOption(null, "seeds", true, "seeds for each measurement (3)");
-    options.addOption(null, "only", true, "fleet, overload, cold or failure; all when left out");
+    options.addOption(
+        null, "only", true, "fleet, overload, cold, memory or failure; all when left out");
     options.addOption(null, "plots", true, "directory for the plots; none when left out");
     try {
       return run(new DefaultParser().parse(options, args));
@@ -60,6 +61,9 @@
       if (only.equals("all") || only.equals("cold")) {
         PartBenches.cold(size.shortened(60, 0), seeds, FIRST_SEED, results);
       }
+      if (only.equals("all") || only.equals("memory")) {
+        PartBenches.memory(size, results);
+      }
       if (only.equals("all") || only.equals("failure")) {
         PartBenches.failure(
             size.shortened(size == Size.TODAY ? 600 : 60, 0), seeds, FIRST_SEED, results);
