Tell VMs outside a group who owns its shard

After the preferred owner had restarted, another member kept the lease, while VMs outside the group went on asking the preferred one. They now ask one voter of a shard they looked up, many shards in one message, and remember the answer for two lease times.

Weighed: the lease going back to the preferred owner (a second change of owner after each restart), owners announcing themselves (bytes grow with the fleet).

--- a/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseManager.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseManager.java
@@ -1,9 +1,11 @@
 package org.ragworttide.coordination.lease;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.ragworttide.coordination.group.AttemptNumbers;
 import org.ragworttide.coordination.group.Ballot;
+import org.ragworttide.coordination.group.GroupSelection;
 import org.ragworttide.coordination.group.IgnoredMessages;
 import org.ragworttide.coordination.group.IgnoredMessages.Reason;
 import org.ragworttide.coordination.group.Shard;
@@ -15,6 +17,9 @@
 import org.ragworttide.coordination.message.GroupMessage;
 import org.ragworttide.coordination.message.GroupMessage.Topic;
 import org.ragworttide.coordination.message.LeaseMessage;
+import org.ragworttide.coordination.message.LeaseMessage.OwnedShard;
+import org.ragworttide.coordination.message.LeaseMessage.OwnerAnswer;
+import org.ragworttide.coordination.message.LeaseMessage.OwnerRequest;
 import org.ragworttide.coordination.message.LeaseMessage.Release;
 import org.ragworttide.coordination.message.LeaseMessage.VoteAnswer;
 import org.ragworttide.coordination.message.LeaseMessage.VoteRequest;
@@ -29,10 +34,12 @@
  */
 public final class LeaseManager implements LeaseCommands, LeaseQueries {
   private static final String NO_KEY = "";
+  private static final int HINT_LEASES = 2;
 
   private final Transport transport;
   private final Voter voter;
   private final Campaign campaign;
+  private final OwnerHints hints;
   private final IgnoredMessages ignored = new IgnoredMessages();
 
   /** Starts without any lease and without any list; nothing is handed out under the leases. */
@@ -58,18 +65,21 @@
     this.voter = new Voter(self, attempts, timers, transport, settings.voterSettings(), ignored);
     VotePort votes = new VotePort(self, incarnation, transport, this::isGranted, this::forget);
     this.campaign = new Campaign(self, timers, settings, attempts, voter, votes, use);
+    this.hints = new OwnerHints(timers, transport, HINT_LEASES * settings.leaseMillis());
     timers.every(settings.tickMillis(), this::tick);
   }
 
   private void tick() {
     voter.tick();
     campaign.tick();
+    voter.groups().ifPresent(hints::tick);
   }
 
   @Override
   public void adopt(VmList list) {
     if (voter.adopt(list)) {
       campaign.onAdopted();
+      hints.clear();
     }
   }
 
@@ -83,6 +93,38 @@
       case VoteRequest request -> onVoteRequest(from, request);
       case VoteAnswer answer -> campaign.onAnswer(from, answer).ifPresent(ignored::count);
       case Release release -> forget(from, release);
+      case OwnerRequest request -> onOwnerRequest(from, request);
+      case OwnerAnswer answer -> onOwnerAnswer(from, answer);
+    }
+  }
+
+  private void onOwnerRequest(VmId from, OwnerRequest request) {
+    List<OwnedShard> owned = new ArrayList<>();
+    for (int number : request.shards()) {
+      if (Shard.isNumber(number)) {
+        voter
+            .votedFor(new Shard(number), NO_KEY)
+            .ifPresent(owner -> owned.add(new OwnedShard(number, owner)));
+      } else {
+        ignored.count(Reason.MALFORMED);
+      }
+    }
+    transport.send(from, new OwnerAnswer(owned));
+  }
+
+  private void onOwnerAnswer(VmId from, OwnerAnswer answer) {
+    GroupSelection groups = voter.groups().orElseThrow();
+    boolean known =
+        answer.owned().stream()
+            .allMatch(
+                told ->
+                    Shard.isNumber(told.shard())
+                        && groups.group(new Shard(told.shard())).contains(from)
+                        && groups.list().find(told.owner()).isPresent());
+    if (known) {
+      hints.onTold(answer.owned());
+    } else {
+      ignored.count(Reason.MALFORMED);
     }
   }
 
@@ -152,7 +194,12 @@
     Optional<VmId> voted = voter.votedFor(shard, NO_KEY);
     return voted.isPresent()
         ? voted
-        : voter.groups().flatMap(groups -> groups.group(shard).stream().findFirst());
+        : voter.groups().flatMap(groups -> probableOwner(groups.group(shard), shard));
+  }
+
+  private Optional<VmId> probableOwner(List<VmId> group, Shard shard) {
+    Optional<VmId> told = hints.find(shard.number());
+    return told.isPresent() ? told : group.stream().findFirst();
   }
 
   @Override
--- a/coordination/src/main/java/org/ragworttide/coordination/message/LeaseMessage.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/message/LeaseMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import org.ragworttide.coordination.id.Incarnation;
+import org.ragworttide.coordination.id.VmId;
 
 /**
  * Messages of the majority lease; each carries many shards.
@@ -60,4 +61,44 @@
       shards = List.copyOf(shards);
     }
   }
+
+  /**
+   * Asks a voter who owns shards, as far as it knows.
+   *
+   * @param shards the numbers of the shards
+   */
+  record OwnerRequest(List<Integer> shards) implements LeaseMessage {
+
+    /** Copies the shards. */
+    public OwnerRequest {
+      shards = List.copyOf(shards);
+    }
+  }
+
+  /**
+   * Tells who owns shards, as far as the voter knows; shards that are not named are unknown.
+   *
+   * @param owned the shards and their owners
+   */
+  record OwnerAnswer(List<OwnedShard> owned) implements LeaseMessage {
+
+    /** Copies the shards. */
+    public OwnerAnswer {
+      owned = List.copyOf(owned);
+    }
+  }
+
+  /**
+   * A shard and its probable owner.
+   *
+   * @param shard the number of the shard
+   * @param owner the VM voted for
+   */
+  record OwnedShard(int shard, VmId owner) {
+
+    /** Checks that nothing is missing. */
+    public OwnedShard {
+      Objects.requireNonNull(owner, "owner");
+    }
+  }
 }
--- a/coordination/src/test/java/org/ragworttide/coordination/lease/LeaseManagerTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/lease/LeaseManagerTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.stream.IntStream;
 import org.ragworttide.coordination.group.Shard;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.net.Chaos;
@@ -90,4 +91,30 @@
     fleet.run(600, STEP_MILLIS, LeaseFleet::checkOwners);
     assertEquals(LeaseFleet.owned(fleet), Shard.COUNT);
   }
+
+  @Test
+  public void everyVmFindsTheOwnerAfterThePreferredOneHasRestarted() {
+    Fleet<LeaseManager> fleet = LeaseFleet.create(9, SEVEN);
+    fleet.run(LeaseFleet.START_MILLIS, STEP_MILLIS, LeaseFleet::checkOwners);
+    fleet.restart(new VmId("a"), 1);
+    fleet.run(LeaseFleet.START_MILLIS, STEP_MILLIS, LeaseFleet::checkOwners);
+    assertTrue(lookUpAll(fleet) > 0);
+    fleet.run(900, STEP_MILLIS, LeaseFleet::checkOwners);
+    assertEquals(lookUpAll(fleet), 0);
+  }
+
+  private static long lookUpAll(Fleet<LeaseManager> fleet) {
+    return fleet.vms().stream().mapToLong(vm -> wrongLookUps(fleet, vm)).sum();
+  }
+
+  private static long wrongLookUps(Fleet<LeaseManager> fleet, VmId vm) {
+    return IntStream.range(0, Shard.COUNT)
+        .mapToObj(Shard::new)
+        .filter(
+            shard -> {
+              VmId owner = fleet.part(vm).ownerOf(shard).orElseThrow();
+              return !fleet.part(owner).isOwner(shard);
+            })
+        .count();
+  }
 }
--- a/protocol/src/main/java/org/ragworttide/protocol/LeaseCodec.java
+++ b/protocol/src/main/java/org/ragworttide/protocol/LeaseCodec.java
@@ -1,9 +1,15 @@
 package org.ragworttide.protocol;
 
 import java.util.Optional;
+import org.ragworttide.coordination.group.Shard;
 import org.ragworttide.coordination.id.Incarnation;
+import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.message.LeaseMessage;
+import org.ragworttide.coordination.message.LeaseMessage.OwnedShard;
 import org.ragworttide.protocol.wire.LeaseEnvelope;
+import org.ragworttide.protocol.wire.LeaseOwnedShard;
+import org.ragworttide.protocol.wire.LeaseOwnerAnswer;
+import org.ragworttide.protocol.wire.LeaseOwnerRequest;
 import org.ragworttide.protocol.wire.LeaseRelease;
 import org.ragworttide.protocol.wire.LeaseVoteAnswer;
 import org.ragworttide.protocol.wire.LeaseVoteRequest;
@@ -41,16 +47,31 @@
                   .setAttempt(release.attempt())
                   .setIncarnation(release.incarnation().value())
                   .addAllShards(release.shards()));
+      case LeaseMessage.OwnerRequest request ->
+          envelope.setOwnerRequest(LeaseOwnerRequest.newBuilder().addAllShards(request.shards()));
+      case LeaseMessage.OwnerAnswer answer ->
+          envelope.setOwnerAnswer(
+              LeaseOwnerAnswer.newBuilder()
+                  .addAllOwned(answer.owned().stream().map(LeaseCodec::toWire).toList()));
     }
     return envelope.build();
   }
 
+  private static LeaseOwnedShard toWire(OwnedShard owned) {
+    return LeaseOwnedShard.newBuilder()
+        .setShard(owned.shard())
+        .setOwner(owned.owner().value())
+        .build();
+  }
+
   /** Returns the message, or nothing if it is incomplete or absurd. */
   public static Optional<LeaseMessage> decode(LeaseEnvelope envelope) {
     return switch (envelope.getMessageCase()) {
       case VOTE_REQUEST -> fromWire(envelope.getVoteRequest());
       case VOTE_ANSWER -> fromWire(envelope.getVoteAnswer());
       case RELEASE -> fromWire(envelope.getRelease());
+      case OWNER_REQUEST -> fromWire(envelope.getOwnerRequest());
+      case OWNER_ANSWER -> fromWire(envelope.getOwnerAnswer());
       case MESSAGE_NOT_SET -> Optional.empty();
     };
   }
@@ -83,4 +104,21 @@
         new LeaseMessage.Release(
             wire.getAttempt(), new Incarnation(wire.getIncarnation()), wire.getShardsList()));
   }
+
+  private static Optional<LeaseMessage> fromWire(LeaseOwnerRequest wire) {
+    return WireChecks.areShards(wire.getShardsList())
+        ? Optional.of(new LeaseMessage.OwnerRequest(wire.getShardsList()))
+        : Optional.empty();
+  }
+
+  private static Optional<LeaseMessage> fromWire(LeaseOwnerAnswer wire) {
+    return WireChecks.all(wire.getOwnedList(), Shard.COUNT, LeaseCodec::fromWire)
+        .map(LeaseMessage.OwnerAnswer::new);
+  }
+
+  private static Optional<OwnedShard> fromWire(LeaseOwnedShard wire) {
+    return Shard.isNumber(wire.getShard()) && WireChecks.isId(wire.getOwner())
+        ? Optional.of(new OwnedShard(wire.getShard(), new VmId(wire.getOwner())))
+        : Optional.empty();
+  }
 }
--- a/protocol/src/test/java/org/ragworttide/protocol/QuorumCodecTest.java
+++ b/protocol/src/test/java/org/ragworttide/protocol/QuorumCodecTest.java
@@ -30,6 +30,8 @@
 import org.ragworttide.protocol.wire.GroupLearnAnswer;
 import org.ragworttide.protocol.wire.GroupShardVotes;
 import org.ragworttide.protocol.wire.LeaseEnvelope;
+import org.ragworttide.protocol.wire.LeaseOwnedShard;
+import org.ragworttide.protocol.wire.LeaseOwnerAnswer;
 import org.ragworttide.protocol.wire.LeaseVoteRequest;
 import org.ragworttide.protocol.wire.VoteTopic;
 import org.testng.annotations.Test;
@@ -60,7 +62,9 @@
         List.of(
             new LeaseMessage.VoteRequest(3, 1, RUN, List.of(1, 2)),
             new LeaseMessage.VoteAnswer(3, 1, List.of(2)),
-            new LeaseMessage.Release(1, RUN, List.of(2)));
+            new LeaseMessage.Release(1, RUN, List.of(2)),
+            new LeaseMessage.OwnerRequest(List.of(0, 511)),
+            new LeaseMessage.OwnerAnswer(List.of(new LeaseMessage.OwnedShard(511, new VmId("a")))));
     for (LeaseMessage message : messages) {
       assertEquals(LeaseCodec.decode(LeaseCodec.encode(message)), Optional.of(message));
     }
@@ -114,6 +118,11 @@
     LeaseVoteRequest noVersion = LeaseVoteRequest.newBuilder().addShards(1).build();
     LeaseVoteRequest noShard = LeaseVoteRequest.newBuilder().setVersion(1).addShards(-1).build();
     assertEquals(LeaseCodec.decode(LeaseEnvelope.getDefaultInstance()), Optional.empty());
+    LeaseOwnerAnswer nobody =
+        LeaseOwnerAnswer.newBuilder().addOwned(LeaseOwnedShard.getDefaultInstance()).build();
+    assertEquals(
+        LeaseCodec.decode(LeaseEnvelope.newBuilder().setOwnerAnswer(nobody).build()),
+        Optional.empty());
     for (LeaseVoteRequest request : List.of(noVersion, noShard)) {
       LeaseEnvelope envelope = LeaseEnvelope.newBuilder().setVoteRequest(request).build();
       assertEquals(LeaseCodec.decode(envelope), Optional.empty());
