Show back-pressure, and give each peer test its own counters

A caller that does not read stops the engine's writing; the stall test now waits for that standstill before it reads.

--- a/daemon/src/test/java/org/ragworttide/daemon/StreamFailureTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/StreamFailureTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.ragworttide.daemon.relay.RelaySettings;
 import org.testng.annotations.Test;
 
@@ -16,6 +17,7 @@
 public final class StreamFailureTest {
   private static final int CHUNKS = 6;
   private static final long PATIENCE_SECONDS = 20;
+  private static final long STANDSTILL_MILLIS = 500;
   // Shorter than the chat route's window, at which work would be cancelled in any case.
   private static final long HANG_UP_SECONDS = 5;
 
@@ -180,31 +182,54 @@
     }
   }
 
+  @Test
+  public void callerThatDoesNotReadHoldsTheEngineBack() throws Exception {
+    AtomicInteger written = new AtomicInteger();
+    int events = 4_000;
+    try (PathFixture path = PathFixture.start(large(events, written));
+        RawCaller caller = new RawCaller(path.http.callerAddress())) {
+      caller.post(PathFixture.CHAT, PathFixture.STREAMED_CHAT);
+      awaitStandstill(written);
+      assertTrue(written.get() < events / 2, "written " + written);
+    }
+  }
+
   @Test
   public void callerThatReadsSlowlyIsNotTakenForStalledEngine() throws Exception {
-    String filler = "x".repeat(30_000);
-    int events = 1_000;
-    CountDownLatch blocked = new CountDownLatch(1);
-    ScriptedUpstream.Script large =
-        exchange -> {
-          exchange.streamHead();
-          for (int i = 0; i < events; i++) {
-            exchange.event("{\"n\":" + i + ",\"f\":\"" + filler + "\"}");
-            blocked.countDown();
-          }
-          exchange.endStream();
-        };
-    try (PathFixture path = PathFixture.start(withStall(20_000, 100), large, CONTINUES)) {
-      RawCaller caller = new RawCaller(path.http.callerAddress());
+    AtomicInteger written = new AtomicInteger();
+    ScriptedUpstream.Script large = large(1_000, written);
+    try (PathFixture path = PathFixture.start(withStall(20_000, 100), large, CONTINUES);
+        RawCaller caller = new RawCaller(path.http.callerAddress())) {
       caller.post(PathFixture.CHAT, PathFixture.STREAMED_CHAT);
-      assertTrue(blocked.await(PATIENCE_SECONDS, TimeUnit.SECONDS));
-      Thread.sleep(500);
+      awaitStandstill(written);
       String answer = caller.readUntil("[DONE]");
       assertFalse(answer.contains("event: error"));
       assertEquals(path.arrivals().size(), 1);
     }
   }
 
+  /** Returns an engine that answers with more than the sockets' buffers hold. */
+  private static ScriptedUpstream.Script large(int events, AtomicInteger written) {
+    String filler = "x".repeat(30_000);
+    return exchange -> {
+      exchange.streamHead();
+      for (int i = 0; i < events; i++) {
+        exchange.event("{\"f\":\"" + filler + "\"}");
+        written.incrementAndGet();
+      }
+      exchange.endStream();
+    };
+  }
+
+  /** Waits until the engine can't write for several times the stall limit. */
+  private static void awaitStandstill(AtomicInteger written) throws InterruptedException {
+    int before = -1;
+    while (written.get() == 0 || written.get() > before) {
+      before = written.get();
+      Thread.sleep(STANDSTILL_MILLIS);
+    }
+  }
+
   private static ScriptedUpstream.Script endless(CountDownLatch cancelled) {
     return exchange -> {
       exchange.streamHead();
--- a/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
@@ -28,7 +28,7 @@
   private static final long LONG_ENOUGH_SECONDS = 10;
   private static final PeerMessage MESSAGE = new MembershipMessage.ListRequest(7, 0, 0);
 
-  private final MetricRegistry metrics = new MetricRegistry();
+  private MetricRegistry metrics;
   private BlockingQueue<PeerMessage> received;
   private PeerNetwork receiver;
   private int port;
@@ -37,6 +37,7 @@
   @BeforeMethod
   public void listen() {
     received = new LinkedBlockingQueue<>();
+    metrics = new MetricRegistry();
     receiver =
         new PeerNetwork(
             identity("fleet", "vm-1"),
