--- a/fakes/src/main/java/org/ragworttide/fakes/demo/StreamAnswer.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/demo/StreamAnswer.java
@@ -46,7 +46,14 @@
   }
 
   String summary() {
-    return status + " " + end + " after " + text.length() + " characters " + detail;
+    return status + " " + end + " after " + text.length() + " characters" + problem();
+  }
+
+  private String problem() {
+    JsonNode json = detail.startsWith("{") ? parse(detail) : MAPPER.missingNode();
+    return json.has("code")
+        ? ", " + json.path("code").asText() + " " + json.path("outcome").asText()
+        : detail.isEmpty() ? "" : ", " + detail;
   }
 
   static StreamAnswer none(String reason) {
