--- a/coordination/src/test/java/org/ragworttide/coordination/limits/TokenBucketTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/TokenBucketTest.java
@@ -65,4 +65,13 @@
     assertTrue(shares.parts() * shares.part().burstNanos() <= limit.burstNanos());
     assertTrue(shares.parts() * shares.part().rateNanosPerMilli() <= limit.rateNanosPerMilli());
   }
+
+  @Test
+  public void creditLeavesTheBucketWithinTheBurst() {
+    TokenBucket bucket = new TokenBucket(new RateLimit(1, 5), 0);
+    bucket.refill(10_000);
+    bucket.lend(2);
+    bucket.credit(9);
+    assertEquals(bucket.wholeTokens(), 3);
+  }
 }
