Sharpen the tests that mutations of membership and versions survived

A restart that kept the old suspicion, a gap in the published lists that was not asked for and a laggard that was not told the newer version survived; each now fails a test. A random peer is never the VM itself, which had wasted an eighth of the probes of eight VMs.

--- a/coordination/src/main/java/org/ragworttide/coordination/membership/Membership.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/membership/Membership.java
@@ -238,10 +238,13 @@
   }
 
   private Optional<VmId> randomPeer() {
-    List<VmEntry> vms = history.newest().map(VmList::vms).orElse(List.of());
-    if (vms.isEmpty()) {
-      return Optional.empty();
-    }
-    return Optional.of(vms.get(random.nextInt(vms.size())).id()).filter(vm -> !vm.equals(self));
+    List<VmId> peers =
+        history.newest().map(VmList::vms).orElse(List.of()).stream()
+            .map(VmEntry::id)
+            .filter(vm -> !vm.equals(self))
+            .toList();
+    return peers.isEmpty()
+        ? Optional.empty()
+        : Optional.of(peers.get(random.nextInt(peers.size())));
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/quarantine/Quarantine.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/quarantine/Quarantine.java
@@ -231,11 +231,14 @@
   }
 
   private Optional<VmId> randomPeer() {
-    List<VmEntry> vms = membership.list().map(VmList::vms).orElse(List.of());
-    if (vms.isEmpty()) {
-      return Optional.empty();
-    }
-    return Optional.of(vms.get(random.nextInt(vms.size())).id()).filter(vm -> !vm.equals(self));
+    List<VmId> peers =
+        membership.list().map(VmList::vms).orElse(List.of()).stream()
+            .map(VmEntry::id)
+            .filter(vm -> !vm.equals(self))
+            .toList();
+    return peers.isEmpty()
+        ? Optional.empty()
+        : Optional.of(peers.get(random.nextInt(peers.size())));
   }
 
   private static QuarantineDecision refused(
--- a/coordination/src/test/java/org/ragworttide/coordination/membership/MembershipTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/membership/MembershipTest.java
@@ -71,6 +71,8 @@
           fleet.advance(10_000);
           fleet.isolate(late, false);
           fleet.offer(3, list(4, 8));
+          fleet.advance(50);
+          assertEquals(fleet.at(late).list().orElseThrow(), list(3, 8), fleet.seed());
           fleet.advance(20_000);
           assertEquals(fleet.at(late).list().orElseThrow(), list(4, 8), fleet.seed());
         });
@@ -150,6 +152,19 @@
     assertFalse(view.isSuspected(victim));
   }
 
+  @Test
+  public void firstMessageOfNewIncarnationEndsTheSuspicion() {
+    Fleet fleet = new Fleet(SEED);
+    fleet.advance(30_000);
+    VmId restarted = fleet.vms.get(5);
+    Membership view = fleet.at(fleet.vms.getFirst());
+    view.failed(restarted);
+    view.failed(restarted);
+    assertTrue(view.isSuspected(restarted));
+    view.receive(restarted, new MembershipMessage.Probe(new Incarnation(77), 1, 1, List.of()));
+    assertFalse(view.isSuspected(restarted));
+  }
+
   @Test
   public void messageOfAnEarlierIncarnationIsIgnored() {
     Fleet fleet = new Fleet(SEED);
--- a/coordination/src/test/java/org/ragworttide/coordination/versions/VersionsTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/versions/VersionsTest.java
@@ -186,6 +186,7 @@
     fleet.split(List.of(behind), List.of(fleet.vms.getFirst(), ahead), true);
     fleet.publish(2, SpreadFleet.document(2, DOCUMENT_BYTES));
     fleet.read(ahead);
+    fleet.time.advance(100);
     fleet.split(List.of(behind), List.of(ahead), false);
     DocumentDigest old = DocumentDigest.of(SpreadFleet.document(1, DOCUMENT_BYTES));
     fleet.at(ahead).receive(behind, new VersionMessage.Announce(1, old, 9, List.of()));
