--- a/bench/src/main/java/org/ragworttide/bench/routing/RoutingBench.java
+++ b/bench/src/main/java/org/ragworttide/bench/routing/RoutingBench.java
@@ -31,7 +31,10 @@
     options.addOption(null, "size", true, "today or target; both when left out");
     options.addOption(null, "seeds", true, "seeds for each measurement (3)");
     options.addOption(
-        null, "only", true, "fleet, overload, cold, memory or failure; all when left out");
+        null,
+        "only",
+        true,
+        "fleet, overload, cold, memory, failure or decision; all when left out");
     options.addOption(null, "plots", true, "directory for the plots; none when left out");
     try {
       return run(new DefaultParser().parse(options, args));
@@ -69,6 +72,9 @@
             size.shortened(size == Size.TODAY ? 600 : 60, 0), seeds, FIRST_SEED, results);
       }
     }
+    if (only.equals("all") || only.equals("decision")) {
+      DecisionBench.run(results);
+    }
     return results.passed() ? 0 : EXIT_BOUND;
   }
 
