--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.ragworttide.coordination.id.Incarnation;
 import org.ragworttide.coordination.id.OrganisationId;
 import org.ragworttide.coordination.id.VmId;
@@ -13,6 +15,7 @@
 import org.ragworttide.coordination.message.PeerMessage;
 import org.ragworttide.coordination.message.Transport;
 import org.ragworttide.coordination.net.FakeNetwork;
+import org.ragworttide.coordination.net.MessageTap;
 import org.ragworttide.coordination.net.VmClock;
 import org.ragworttide.coordination.time.ManualTimerService;
 
@@ -43,16 +46,16 @@
   private final Map<VmId, VmClock> clocks = new HashMap<>();
   private final LimitSettings settings;
   private final SplittableRandom random;
-  private final Consumer<PeerMessage> tap;
+  private final MessageTap tap;
   private Map<OrganisationId, RateLimit> table = Map.of();
 
   /** Creates a fleet of the given number of VMs. */
   public LimitFleet(long seed, int size, LimitSettings settings) {
-    this(seed, size, settings, message -> {});
+    this(seed, size, settings, (from, to, message) -> {});
   }
 
   /** Creates a fleet whose messages are shown to a tap. */
-  public LimitFleet(long seed, int size, LimitSettings settings, Consumer<PeerMessage> tap) {
+  public LimitFleet(long seed, int size, LimitSettings settings, MessageTap tap) {
     this.random = new SplittableRandom(seed);
     this.network = new FakeNetwork(time, random.nextLong());
     this.settings = settings;
@@ -75,7 +78,7 @@
         network.connect(vm, clock.guard((from, message) -> take(vm, from, message)));
     Transport tapped =
         (to, message) -> {
-          tap.accept(message);
+          tap.sent(vm, to, message);
           transport.send(to, message);
         };
     clocks.put(vm, clock);
@@ -85,7 +88,7 @@
 
   /** Puts limits in force on all VMs at once. */
   public void apply(Map<OrganisationId, RateLimit> newTable) {
-    table = Map.copyOf(newTable);
+    table = new TreeMap<>(newTable);
     table.forEach((id, limit) -> checker.limit(id, limit, time.nowMillis()));
     limits.values().forEach(each -> each.apply(table));
   }
@@ -109,9 +112,25 @@
             });
   }
 
-  /** Lets one VM own all organisations of the table from one base time to another. */
+  /**
+   * Lets a VM own the first part of every limit from one base time to another, and the next VMs in
+   * order the other parts.
+   */
   public void own(VmId vm, long fromMillis, long toMillis) {
-    table.keySet().forEach(id -> owners.hold(id.value(), vm, fromMillis, toMillis));
+    for (OrganisationId id : table.keySet()) {
+      int owner = vms.indexOf(vm);
+      for (String resource : resources(id)) {
+        owners.hold(resource, vms.get(owner++ % vms.size()), fromMillis, toMillis);
+      }
+    }
+  }
+
+  /** Returns the names under which the parts of an organisation's limit have owners. */
+  public List<String> resources(OrganisationId organisation) {
+    int parts = LimitShares.of(table.get(organisation), settings).parts();
+    return IntStream.range(0, parts)
+        .mapToObj(index -> new LimitPart(organisation, index).resource())
+        .toList();
   }
 
   /** Returns the limits of a VM. */
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitsTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitsTest.java
@@ -28,7 +28,7 @@
   public void createFleet() {
     messages.clear();
     decisions.clear();
-    fleet = new LimitFleet(1, 3, LimitSettings.of(3), messages::add);
+    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0.2, 60_000), this::note);
     fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
   }
 
@@ -181,7 +181,7 @@
 
   @Test
   public void permitsEndWithTheOwnership() {
-    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), messages::add);
+    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), this::note);
     fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
     fleet.own(vm(0), 0, 20_000);
     fleet.time.advance(19_700);
@@ -196,7 +196,7 @@
 
   @Test
   public void tokensOfAnEarlierOwnershipAreGone() {
-    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), messages::add);
+    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), this::note);
     fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
     fleet.own(vm(0), 0, 20_000);
     fleet.own(vm(1), 20_000, 30_000);
@@ -233,6 +233,21 @@
     assertFalse(decisions.stream().anyMatch(LimitDecision.Refused.class::isInstance));
   }
 
+  @Test
+  public void requestIsAdmittedByAnotherPartWhenOnePartIsEmpty() {
+    fleet = new LimitFleet(1, 3, new LimitSettings(30, 0, 60_000), this::note);
+    fleet.apply(Map.of(HOTEL, new RateLimit(40, 40)));
+    assertEquals(fleet.resources(HOTEL), List.of("hotel", "hotel#1"));
+    fleet.own(vm(0), 0, FOREVER_MILLIS);
+    fleet.time.advance(20_000);
+    for (int i = 0; i < 39; i++) {
+      fleet.request(vm(2), HOTEL, "r" + i, decisions::add);
+    }
+    fleet.time.advance(100);
+    assertFalse(decisions.stream().anyMatch(LimitDecision.Refused.class::isInstance));
+    assertEquals(decisions.size(), 39);
+  }
+
   @Test
   public void unknownOrganisationIsRefused() {
     fleet.request(vm(0), new OrganisationId("nobody"), "a", decisions::add);
@@ -240,13 +255,17 @@
     assertEquals(refused.reason(), RefusalReason.UNKNOWN_ORGANISATION);
   }
 
+  private void note(VmId from, VmId to, PeerMessage message) {
+    messages.add(message);
+  }
+
   private void ownedAndFull() {
     fleet.own(vm(0), 0, FOREVER_MILLIS);
     fleet.time.advance(20_000);
   }
 
   private void ownedWithoutReserves() {
-    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), messages::add);
+    fleet = new LimitFleet(1, 3, new LimitSettings(3, 0, 60_000), this::note);
     fleet.apply(Map.of(HOTEL, new RateLimit(10, 30)));
     ownedAndFull();
   }
--- a/daemon/src/main/java/org/ragworttide/daemon/caller/CallerSettings.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/CallerSettings.java
@@ -10,8 +10,9 @@
  * @param maxTargetBytes longest request line
  * @param maxHeaderBytes largest head of a request
  * @param maxBodyBytes largest body of a request
- * @param bodyTimeoutMillis longest time for a body to arrive
+ * @param receiveTimeoutMillis longest time for a head, and then for a body, to arrive
  * @param idleMillis how long an unused connection is kept
+ * @param drainNoticeMillis how long the listener stays open after a drain has begun
  */
 public record CallerSettings(
     String host,
@@ -19,8 +20,9 @@
     int maxTargetBytes,
     int maxHeaderBytes,
     int maxBodyBytes,
-    long bodyTimeoutMillis,
-    long idleMillis) {
+    long receiveTimeoutMillis,
+    long idleMillis,
+    long drainNoticeMillis) {
 
   /** Checks the ranges. */
   public CallerSettings {
@@ -28,14 +30,28 @@
         || maxTargetBytes <= 0
         || maxHeaderBytes <= 0
         || maxBodyBytes <= 0
-        || bodyTimeoutMillis <= 0
-        || idleMillis <= 0) {
+        || receiveTimeoutMillis <= 0
+        || idleMillis <= 0
+        || drainNoticeMillis < 0) {
       throw new IllegalArgumentException("limits of the callers' listener must be positive");
     }
   }
 
+  /** Returns the settings with limits that operators may set. */
+  public CallerSettings withLimits(int headerBytes, int bodyBytes, long idle) {
+    return new CallerSettings(
+        host,
+        port,
+        maxTargetBytes,
+        headerBytes,
+        bodyBytes,
+        receiveTimeoutMillis,
+        idle,
+        drainNoticeMillis);
+  }
+
   /** Returns the settings used when none are given. */
   public static CallerSettings defaults(String host, int port) {
-    return new CallerSettings(host, port, 8 << 10, 16 << 10, 1 << 20, 10_000, 60_000);
+    return new CallerSettings(host, port, 8 << 10, 16 << 10, 1 << 20, 10_000, 60_000, 2_000);
   }
 }
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/ClaimedRun.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/ClaimedRun.java
@@ -27,19 +27,30 @@
   private final RequestRun run;
   private final Claims claims;
   private final RelaySettings settings;
+  private final InFlight inFlight;
 
-  ClaimedRun(CallerRequest request, RequestRun run, Claims claims, RelaySettings settings) {
+  ClaimedRun(
+      CallerRequest request,
+      RequestRun run,
+      Claims claims,
+      RelaySettings settings,
+      InFlight inFlight) {
     this.request = request;
     this.run = run;
     this.claims = claims;
     this.settings = settings;
+    this.inFlight = inFlight;
   }
 
   /** Returns the answer's part; cancelling keeps an unsent request from being sent. */
   Flux<AnswerPart> parts(Flux<AnswerPart> granted) {
     return Flux.defer(
         () -> {
-          Mono<AnswerPart> outcome = claim().flatMap(decision -> onDecision(decision, granted));
+          inFlight.enter();
+          Mono<AnswerPart> outcome =
+              claim()
+                  .flatMap(decision -> onDecision(decision, granted))
+                  .doFinally(unused -> inFlight.exit());
           return Mono.fromFuture(outcome.toFuture(), true).doOnCancel(run::interrupt).flux();
         });
   }
@@ -51,7 +62,10 @@
   private Mono<AnswerPart> onDecision(ClaimDecision decision, Flux<AnswerPart> granted) {
     return switch (decision) {
       case ClaimDecision.Granted grant -> run(grant.handle(), granted);
-      case ClaimDecision.FirstAnswer first -> Mono.just(replay(first));
+      case ClaimDecision.FirstAnswer first ->
+          FingerprintedBody.answers(first.body(), request.fingerprint())
+              ? Mono.just(replay(first))
+              : refuse(Refusals.keyReused());
       case ClaimDecision.FirstRunning running -> refuse(Refusals.firstRunning());
       case ClaimDecision.MayHaveRun mayHaveRun -> refuse(Refusals.firstMayHaveRun());
       case ClaimDecision.NotRun notRun -> refuse(Refusals.of(notRun));
@@ -76,17 +90,20 @@
     if (!first.contentType().isEmpty()) {
       headers.set(HttpHeaderNames.CONTENT_TYPE, first.contentType());
     }
-    return new AnswerPart.Whole(first.status(), headers, first.body());
+    return new AnswerPart.Whole(first.status(), headers, FingerprintedBody.unwrap(first.body()));
   }
 
-  private static void report(ClaimHandle handle, AnswerPart part) {
+  private void report(ClaimHandle handle, AnswerPart part) {
     switch (part) {
       case AnswerPart.Whole whole ->
           handle.completed(
-              whole.status(), whole.headers().get(HttpHeaderNames.CONTENT_TYPE, ""), whole.body());
+              whole.status(),
+              whole.headers().get(HttpHeaderNames.CONTENT_TYPE, ""),
+              FingerprintedBody.wrap(request.fingerprint(), whole.body()));
       case AnswerPart.Refusal refusal -> report(handle, refusal.problem().outcome());
       case AnswerPart.StreamHead head -> handle.mayHaveRun();
       case AnswerPart.StreamEvent event -> handle.mayHaveRun();
+      case AnswerPart.StreamFailure failure -> handle.mayHaveRun();
     }
   }
 
