Model releases, and weigh each VM once when groups are chosen

A claimant that gives up lets voters forget votes of that attempt; the variant that still counts them has a counterexample (withoutRelease).

--- a/coordination/src/main/java/org/ragworttide/coordination/group/GroupSelection.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/group/GroupSelection.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.ragworttide.coordination.hash.Rendezvous;
 import org.ragworttide.coordination.id.VmId;
@@ -50,25 +48,30 @@
   private static List<VmId> choose(long shardHash, List<Candidate> live, int voters) {
     List<Candidate> ordered =
         live.stream()
-            .sorted(
-                Comparator.<Candidate>comparingLong(vm -> Rendezvous.weight(shardHash, vm.hash))
-                    .reversed())
+            .map(vm -> new Weighted(vm, Rendezvous.weight(shardHash, vm.hash)))
+            .sorted(Comparator.comparingLong(Weighted::weight).reversed())
+            .map(Weighted::vm)
             .toList();
-    Map<VmId, Integer> rounds = roundsByZone(ordered);
-    return ordered.stream()
-        .sorted(Comparator.comparingInt(vm -> rounds.get(vm.id)))
-        .limit(voters)
-        .map(Candidate::id)
-        .toList();
+    return spread(ordered, voters);
   }
 
-  private static Map<VmId, Integer> roundsByZone(List<Candidate> ordered) {
-    Map<ZoneId, Integer> taken = new HashMap<>();
-    Map<VmId, Integer> rounds = new HashMap<>();
-    for (Candidate vm : ordered) {
-      rounds.put(vm.id, taken.merge(vm.zone, 1, Integer::sum));
+  /** Takes the heaviest VM of each zone, then the second of each, until there are enough. */
+  private static List<VmId> spread(List<Candidate> ordered, int voters) {
+    List<VmId> group = new ArrayList<>(voters);
+    List<Candidate> rest = new ArrayList<>(ordered);
+    while (group.size() < voters && !rest.isEmpty()) {
+      Set<ZoneId> taken = new HashSet<>();
+      List<Candidate> later = new ArrayList<>(rest.size());
+      for (Candidate vm : rest) {
+        if (group.size() < voters && taken.add(vm.zone)) {
+          group.add(vm.id);
+        } else {
+          later.add(vm);
+        }
+      }
+      rest = later;
     }
-    return rounds;
+    return List.copyOf(group);
   }
 
   /** Returns all VMs that have a shard in common with the given one. */
@@ -79,6 +82,8 @@
     return peers;
   }
 
+  private record Weighted(Candidate vm, long weight) {}
+
   private record Candidate(VmId id, ZoneId zone, long hash) {
     private Candidate(VmEntry vm) {
       this(vm.id(), vm.zone(), Rendezvous.hash(vm.id().value()));
--- a/spec/src/test/resources/ragworttide/claim.als
+++ b/spec/src/test/resources/ragworttide/claim.als
@@ -10,7 +10,7 @@
 open util/ordering[Version] as versions
 
 /** Parts of the protocol that a broken variant leaves out. */
-enum Rule { VoteOnce, QuietPeriod, NextList, CurrentAnswer, LearnFromQuorum, FixedQuorum, OneList }
+enum Rule { VoteOnce, QuietPeriod, NextList, CurrentAnswer, LearnFromQuorum, FixedQuorum, OneList, Release }
 
 sig Broken in Rule {}
 
@@ -26,6 +26,7 @@
 
 sig Node {
   var votes: set Claimant,
+  var givenUp: set Claimant,
   var adopted: one Version,
   var informed: set Version,
   var heard: Version -> Node
@@ -47,11 +48,11 @@
   FixedQuorum in Broken implies #(voters & v.group) > #(v.group - voters)
 }
 
-pred sameVotes { votes' = votes and collected' = collected }
+pred sameVotes { votes' = votes and collected' = collected and givenUp' = givenUp }
 pred sameKnowledge { informed' = informed and heard' = heard }
 
 pred init {
-  no votes and no collected and no heard and no Quiet and no Ran
+  no votes and no givenUp and no collected and no heard and no Quiet and no Ran
   adopted = Node -> versions/first
   informed = versions/first.group -> versions/first
 }
@@ -69,6 +70,7 @@
     VoteOnce in Broken or n.votes in Asker
   }
   votes' = votes + Actors -> Asker
+  givenUp' = givenUp - Actors -> Asker
   collected' = collected + (Asker -> (Actors <: adopted))
   sameKnowledge and adopted' = adopted and Ran' = Ran and Quiet' = Quiet
 }
@@ -99,6 +101,7 @@
   }
   informed' = informed
   votes' = votes + Learner -> Actors.votes
+  givenUp' = givenUp - Learner -> Actors.votes
   collected' = collected and adopted' = adopted and Ran' = Ran and Quiet' = Quiet
 }
 
@@ -118,6 +121,7 @@
 pred restart {
   some Actors
   votes' = votes - Actors -> Claimant
+  givenUp' = givenUp - Actors -> Claimant
   collected' = collected
   all n: Node - Actors | n.adopted' = n.adopted
   informed' = informed - Actors -> Version
@@ -132,7 +136,25 @@
   Quiet' = Quiet - Actors
   collected' = collected - Claimant -> Actors -> Version
   heard' = heard - Node -> Version -> Actors
-  informed' = informed and votes' = votes and adopted' = adopted and Ran' = Ran
+  informed' = informed and votes' = votes and givenUp' = givenUp
+  adopted' = adopted and Ran' = Ran
+}
+
+/** A claimant gives its attempt up; votes that it gets from now on belong to its next one. */
+pred giveUp {
+  one Asker and Asker not in Ran
+  collected' = (Release in Broken => collected else collected - Asker -> Node -> Version)
+  givenUp' = givenUp + (votes :> Asker)
+  votes' = votes and sameKnowledge and adopted' = adopted and Ran' = Ran and Quiet' = Quiet
+}
+
+/** Voters forget a vote that belongs to an attempt that was given up. */
+pred release {
+  some Actors and one Asker and Actors in givenUp.Asker
+  votes' = votes - Actors -> Asker
+  givenUp' = givenUp - Actors -> Asker
+  collected' = collected
+  sameKnowledge and adopted' = adopted and Ran' = Ran and Quiet' = Quiet
 }
 
 /** A claimant counts a quorum of one list and runs. */
@@ -146,7 +168,8 @@
 
 fact trace {
   init
-  always (stutter or vote or adopt or answer or becomeInformed or restart or endQuiet or run_)
+  always (stutter or vote or adopt or answer or becomeInformed or restart or endQuiet or run_
+    or giveUp or release)
 }
 
 fact groups {
@@ -178,6 +201,8 @@
 withoutNextList: check {
   (Broken = NextList and no Five and (adopt; answer; becomeInformed; vote; run_; adopt; vote; run_)) => oneRun
 } for exactly 4 Node, exactly 2 Claimant, exactly 3 Version, 4 Int, 10 steps expect 1
+withoutRelease: check { (Broken = Release and no Five) => oneRun }
+  for exactly 3 Node, exactly 2 Claimant, exactly 1 Version, 4 Int, 1..8 steps expect 1
 withoutCurrentAnswer: check {
   (Broken = CurrentAnswer and no Five and (adopt; answer; becomeInformed; restart; endQuiet; answer;
     becomeInformed; restart; endQuiet; answer; becomeInformed; vote; run_; vote; run_)) => oneRun
