--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/CoordinatorTest.java
@@ -0,0 +1,192 @@
+package org.ragworttide.coordination;
+
+import static org.ragworttide.coordination.CoordinatorFleet.LIMIT;
+import static org.ragworttide.coordination.CoordinatorFleet.ORGANISATION;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.ragworttide.coordination.claims.ClaimDecision;
+import org.ragworttide.coordination.id.RequestKey;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.limits.LimitDecision;
+import org.ragworttide.coordination.limits.RateChecker;
+import org.ragworttide.coordination.net.Chaos;
+import org.ragworttide.coordination.net.Fleet;
+import org.ragworttide.coordination.net.Seeds;
+import org.testng.annotations.Test;
+
+/** Tests whole coordinators together, where one part's promise rests on another's. */
+public class CoordinatorTest {
+  private static final long STEP_MILLIS = 2;
+  private static final long START_MILLIS = 30_000;
+  private static final long QUIET_MILLIS = 200;
+  private static final long SURGE_MILLIS = 4;
+  private static final String[] VMS = {"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6"};
+
+  @Test
+  public void rateHoldsWhileEveryVmIsStoppedAndReplacedInTurn() {
+    Seeds.each(
+        seed -> {
+          Load load = new Load(CoordinatorFleet.create(seed, VMS));
+          load.run(START_MILLIS / 2);
+          List<String> vms = new ArrayList<>(List.of(VMS));
+          for (String leaving : VMS) {
+            load.fleet.part(new VmId(leaving)).stop();
+            load.run(3_500);
+            vms.remove(leaving);
+            vms.add(leaving + "-new");
+            load.fleet.publish(vms.toArray(String[]::new));
+            load.fleet.adoptAll();
+            load.run(1_000);
+          }
+          assertEquals(load.checker.overshoot(), 0.0);
+          assertTrue(load.admitted > 0, "nothing was admitted");
+        });
+  }
+
+  @Test
+  public void surgeAfterTheOwnerHasStoppedStaysWithinTheRate() {
+    Seeds.each(
+        seed -> {
+          Load load = new Load(CoordinatorFleet.create(seed, VMS));
+          load.run(START_MILLIS / 2);
+          for (int i = 0; i < 3; i++) {
+            load.askEveryMillis = QUIET_MILLIS;
+            load.run(4_000);
+            VmId owner = load.owner();
+            load.fleet.part(owner).stop();
+            load.run(500 + load.fleet.random().nextInt(1_500));
+            load.askEveryMillis = SURGE_MILLIS;
+            load.run(400);
+            load.fleet.restart(owner, 1);
+          }
+          assertEquals(load.checker.overshoot(), 0.0);
+        });
+  }
+
+  @Test
+  public void rateHoldsUnderRandomFailures() {
+    Seeds.each(
+        seed -> {
+          Load load = new Load(CoordinatorFleet.create(seed, VMS));
+          load.fleet.network().faults(0.05, 0.05, 20);
+          load.run(START_MILLIS / 2);
+          Chaos chaos = new Chaos(load.fleet);
+          for (int i = 0; i < 40; i++) {
+            chaos.strike();
+            load.run(500);
+          }
+          assertEquals(load.checker.overshoot(), 0.0);
+        });
+  }
+
+  @Test
+  public void keyRunsOnceUnderRandomFailures() {
+    Seeds.each(
+        seed -> {
+          Fleet<Coordinator> fleet = CoordinatorFleet.create(seed, VMS);
+          fleet.run(START_MILLIS, 100, any -> {});
+          Chaos chaos = new Chaos(fleet);
+          fleet.network().faults(0.05, 0.05, 50);
+          Set<String> ran = new HashSet<>();
+          for (int i = 0; i < 60; i++) {
+            chaos.strike();
+            claimEverywhere(fleet, "key-" + i / 3, ran);
+            fleet.run(300, 20, any -> {});
+          }
+          chaos.calm();
+        });
+  }
+
+  @Test
+  public void newFleetGrantsClaimsOnceTheRetentionIsOver() {
+    Fleet<Coordinator> fleet = CoordinatorFleet.create(1, VMS);
+    List<ClaimDecision> decisions = new ArrayList<>();
+    fleet.run(5_000, 100, any -> {});
+    claim(fleet, "early", decisions);
+    fleet.run(8_000, 100, any -> {});
+    assertTrue(decisions.getFirst() instanceof ClaimDecision.MayHaveRun, decisions.toString());
+    fleet.run(START_MILLIS, 100, any -> {});
+    claim(fleet, "late", decisions);
+    fleet.run(3_000, 100, any -> {});
+    assertTrue(decisions.getLast() instanceof ClaimDecision.Granted, decisions.toString());
+  }
+
+  private static void claim(Fleet<Coordinator> fleet, String key, List<ClaimDecision> decisions) {
+    fleet.part(new VmId("vm-1")).claimCommands().claim(new RequestKey(key), decisions::add);
+  }
+
+  private static void claimEverywhere(Fleet<Coordinator> fleet, String key, Set<String> ran) {
+    for (VmId vm : fleet.vms()) {
+      if (fleet.timers(vm).isPaused()) {
+        continue;
+      }
+      fleet
+          .part(vm)
+          .claimCommands()
+          .claim(
+              new RequestKey(key),
+              decision -> {
+                if (decision instanceof ClaimDecision.Granted) {
+                  assertTrue(ran.add(key), key + " was granted twice");
+                }
+              });
+    }
+  }
+
+  /** Asks on every VM for more than the rate, and follows what is admitted. */
+  private static final class Load {
+    private final Fleet<Coordinator> fleet;
+    private final RateChecker checker = new RateChecker();
+    private long askEveryMillis = 30;
+    private long nowMillis;
+    private int admitted;
+    private int asked;
+
+    private Load(Fleet<Coordinator> fleet) {
+      this.fleet = fleet;
+      checker.limit(ORGANISATION, LIMIT, 0);
+    }
+
+    private VmId owner() {
+      return fleet.vms().stream()
+          .max(Comparator.comparingLong(vm -> fleet.part(vm).limits().ownedTokens(ORGANISATION)))
+          .orElseThrow();
+    }
+
+    private void run(long millis) {
+      fleet.run(millis, STEP_MILLIS, any -> step());
+    }
+
+    private void step() {
+      nowMillis += STEP_MILLIS;
+      if (nowMillis % askEveryMillis == 0) {
+        for (VmId vm : fleet.vms()) {
+          if (!fleet.timers(vm).isPaused()) {
+            ask(vm, "request-" + asked++);
+          }
+        }
+      }
+    }
+
+    private void ask(VmId vm, String request) {
+      fleet
+          .part(vm)
+          .limitCommands()
+          .acquire(
+              ORGANISATION,
+              request,
+              decision -> {
+                if (decision instanceof LimitDecision.Admitted) {
+                  admitted++;
+                  checker.admitted(ORGANISATION, request, nowMillis + STEP_MILLIS);
+                }
+              });
+    }
+  }
+}
