Queue fairly in front of the engines and keep away from failing upstreams

Requests that no upstream can take now wait in the fair queue of their model, and are refused as not run when their answer could not be whole in time; breakers join the cold admission in front of the router; the load multiple comes from the configuration.

--- a/coordination/src/main/java/org/ragworttide/coordination/Coordinator.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/Coordinator.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.ragworttide.coordination.admission.AdmissionView;
-import org.ragworttide.coordination.admission.ColdAdmission;
 import org.ragworttide.coordination.claims.ClaimCommands;
 import org.ragworttide.coordination.claims.ClaimQueries;
 import org.ragworttide.coordination.id.Fingerprint;
@@ -32,6 +31,9 @@
 import org.ragworttide.coordination.quarantine.Quarantine;
 import org.ragworttide.coordination.quarantine.QuarantineCommands;
 import org.ragworttide.coordination.quarantine.QuarantineQueries;
+import org.ragworttide.coordination.retry.AttemptOutcome;
+import org.ragworttide.coordination.retry.BreakerSettings;
+import org.ragworttide.coordination.retry.CircuitBreakers;
 import org.ragworttide.coordination.routing.LoadReport;
 import org.ragworttide.coordination.routing.Router;
 import org.ragworttide.coordination.routing.RouterSettings;
@@ -53,6 +55,8 @@
  * thread, on which the timer service calls back too.
  */
 public final class Coordinator {
+  private static final double SOFT_PART = 0.4;
+
   private final VmId self;
   private final Incarnation incarnation;
   private final TimerService time;
@@ -60,7 +64,9 @@
   private final Membership membership;
   private final Versions versions;
   private final Quarantine quarantine;
-  private final Router router;
+  private final RouterSettings routing;
+  private final CircuitBreakers breakers;
+  private Router router;
   private SharedRights rights;
   private long adoptedVersion;
 
@@ -90,13 +96,21 @@
     this.versions = new Versions(self, time, transport, membership, host, random.split());
     this.quarantine =
         new Quarantine(self, time, transport, membership, this::decider, random.split());
-    this.router = new Router(time, routing, new ConfiguredGate());
+    this.routing = routing;
+    this.breakers = new CircuitBreakers(time, BreakerSettings.DEFAULTS, random.nextLong());
   }
 
   /** Gives the constants of the fleet; the first call counts. */
   public void configure(FleetConstants constants) {
     if (rights == null) {
       rights = new SharedRights(self, incarnation, time, transport, constants);
+      double load = constants.loadMultiple();
+      double soft = 1 + SOFT_PART * (load - 1);
+      router =
+          new Router(
+              time,
+              routing.withMultiples(soft, load),
+              UpstreamGate.all(List.of(rights.cold(), breakers)));
       membership.recentLists().forEach(rights::adopt);
       tellMembers();
     }
@@ -121,8 +135,8 @@
 
   /** Takes in an engine's published load. */
   public void load(LoadReport report) {
-    router.facts().load(report);
     if (rights != null) {
+      router.facts().load(report);
       long load = report.running() + report.waiting();
       rights
           .cold()
@@ -182,8 +196,9 @@
     return quarantine;
   }
 
-  /** Returns the router. */
+  /** Returns the router; only once configured. */
   public Router router() {
+    configured();
     return router;
   }
 
@@ -220,11 +235,13 @@
   /** Notes that an upstream began to answer a request; called before its slot is released. */
   public void answered(UpstreamId upstream, long firstTokenMillis) {
     configured().cold().answered(upstream, firstTokenMillis);
+    breakers.outcome(upstream, AttemptOutcome.ANSWERED);
   }
 
   /** Notes that an upstream failed a request; called before its slot is released. */
   public void failed(UpstreamId upstream) {
     configured().cold().failed(upstream);
+    breakers.outcome(upstream, AttemptOutcome.FAILED);
   }
 
   /** Returns whether the constants of the fleet are known. */
@@ -258,38 +275,15 @@
             .map(VmEntry::id)
             .toList();
     int rank = live.indexOf(self);
-    if (rank >= 0) {
-      router.facts().fleet(live.size(), rank);
-    }
     if (rights != null) {
       rights.cold().members(live);
+      if (rank >= 0) {
+        router.facts().fleet(live.size(), rank);
+      }
     }
   }
 
   private Optional<VmId> decider(Fingerprint fingerprint) {
     return rights == null ? Optional.empty() : rights.ownerOf("fingerprint/" + fingerprint);
   }
-
-  /** Passes on to the cold admission, once there is one. */
-  private final class ConfiguredGate implements UpstreamGate {
-
-    @Override
-    public boolean tryEnter(UpstreamId upstream) {
-      return cold().map(gate -> gate.tryEnter(upstream)).orElse(false);
-    }
-
-    @Override
-    public boolean isDeciding(UpstreamId upstream) {
-      return cold().map(gate -> gate.isDeciding(upstream)).orElse(true);
-    }
-
-    @Override
-    public void leave(UpstreamId upstream) {
-      cold().ifPresent(gate -> gate.leave(upstream));
-    }
-
-    private Optional<ColdAdmission> cold() {
-      return Optional.ofNullable(rights).map(SharedRights::cold);
-    }
-  }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/FleetConstants.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/FleetConstants.java
@@ -8,13 +8,17 @@
  *
  * @param maxEntryVms most VMs that ever run at one time, replacements included
  * @param claimRetentionMillis how long the key of a non-idempotent request may return
+ * @param loadMultiple most load an engine carries, as a multiple of the mean, above 1
  */
-public record FleetConstants(int maxEntryVms, long claimRetentionMillis) {
+public record FleetConstants(int maxEntryVms, long claimRetentionMillis, double loadMultiple) {
 
-  /** Checks that both are positive. */
+  /** Checks the ranges. */
   public FleetConstants {
     if (maxEntryVms <= 0 || claimRetentionMillis <= 0) {
       throw new IllegalArgumentException("maxEntryVms and claimRetentionMillis must be positive");
     }
+    if (!(loadMultiple > 1)) {
+      throw new IllegalArgumentException("loadMultiple must be above 1: " + loadMultiple);
+    }
   }
 }
--- a/coordination/src/test/java/org/ragworttide/coordination/CoordinatedLimitTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/CoordinatedLimitTest.java
@@ -103,7 +103,7 @@
               new NoVersions(),
               RouterSettings.DEFAULTS);
       coordinators.put(vm, coordinator);
-      coordinator.configure(new FleetConstants(VMS, 60_000));
+      coordinator.configure(new FleetConstants(VMS, 60_000, 1.5));
       coordinator.offer(list);
       coordinator.apply(new FleetPolicy(Map.of(HOTEL, LIMIT), Map.of(), List.of(), Map.of()));
     }
--- a/coordination/src/test/java/org/ragworttide/coordination/CoordinatorFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/CoordinatorFleet.java
@@ -18,7 +18,7 @@
 final class CoordinatorFleet implements Fleet.Factory<Coordinator> {
   static final OrganisationId ORGANISATION = new OrganisationId("hotel");
   static final RateLimit LIMIT = new RateLimit(50, 20);
-  static final FleetConstants CONSTANTS = new FleetConstants(10, 20_000);
+  static final FleetConstants CONSTANTS = new FleetConstants(10, 20_000, 1.5);
 
   static Fleet<Coordinator> create(long seed, String... vms) {
     Fleet<Coordinator> fleet = new Fleet<>(seed, new CoordinatorFleet());
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/PlatformFacts.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/PlatformFacts.java
@@ -94,7 +94,8 @@
     boolean sameConstants =
         current == null || Policies.constants(current).equals(Policies.constants(document));
     if (!sameConstants) {
-      String message = "maxEntryVms and claimRetentionSeconds change only with the fleet's name";
+      String message =
+          "only a fleet of another name can have other values of maxEntryVms, loadMultiple and claimRetentionSeconds";
       refuse(version, List.of(new Fault("/fleet", message)));
       return false;
     }
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Policies.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Policies.java
@@ -25,7 +25,9 @@
   static FleetConstants constants(ConfigurationDocument document) {
     long retentionSeconds = document.fleet().claimRetentionSeconds();
     return new FleetConstants(
-        document.fleet().maxEntryVms(), TimeUnit.SECONDS.toMillis(retentionSeconds));
+        document.fleet().maxEntryVms(),
+        TimeUnit.SECONDS.toMillis(retentionSeconds),
+        document.fleet().loadMultiple());
   }
 
   static FleetPolicy policy(ConfigurationDocument document) {
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/QuarantinedPlacement.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/QuarantinedPlacement.java
@@ -42,7 +42,11 @@
   public Mono<PlacementDecision> place(PlacementRequest request) {
     Fingerprint fingerprint = fingerprint(request.fingerprint());
     return loop.<QuarantineDecision>call(answer -> quarantine.check(fingerprint, answer))
-        .flatMap(decision -> place(request, fingerprint, decision));
+        .flatMap(decision -> place(request, fingerprint, decision))
+        // A caller may leave while its request is being placed.
+        .doOnDiscard(
+            PlacementDecision.Placed.class,
+            placed -> placed.slot().release(new AttemptOutcome.Cancelled()));
   }
 
   private Mono<PlacementDecision> place(
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/RouterPlacement.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/RouterPlacement.java
@@ -3,17 +3,17 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.ragworttide.coordination.Coordinator;
 import org.ragworttide.coordination.id.ChatId;
 import org.ragworttide.coordination.id.ModelId;
 import org.ragworttide.coordination.id.OrganisationId;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.queueing.Offer;
+import org.ragworttide.coordination.queueing.QueueRefusal;
 import org.ragworttide.coordination.routing.RefusalReason;
 import org.ragworttide.coordination.routing.RouteRequest;
 import org.ragworttide.coordination.routing.RouteResult;
-import org.ragworttide.coordination.routing.Router;
 import org.ragworttide.coordination.routing.Slot;
 import org.ragworttide.daemon.decision.AttemptOutcome;
 import org.ragworttide.daemon.decision.Placement;
@@ -21,34 +21,40 @@
 import org.ragworttide.daemon.decision.PlacementRefusal;
 import org.ragworttide.daemon.decision.PlacementRequest;
 import org.ragworttide.document.ConfigurationDocument;
+import org.ragworttide.document.ConfigurationDocument.Organisation;
 import org.ragworttide.document.ConfigurationDocument.Upstream;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
 
 /**
- * Places requests by the router of the coordination library.
+ * Places requests by the router of the coordination library; those that no upstream can take now
+ * wait in a fair queue.
  *
  * <p>Invariant: the router is touched on the coordination thread only. Safe for use by any thread.
  */
 final class RouterPlacement implements Placement {
   private static final OrganisationId OPEN = new OrganisationId("open");
-
-  private static final long WAIT_STEP_MILLIS = 20;
-  private static final long MAX_WAIT_MILLIS = 2_000;
+  private static final long DISPATCH_PERIOD_MILLIS = 10;
+  private static final long PERMIT_POLL_MILLIS = 5;
+  private static final long MAX_PERMIT_WAIT_MILLIS = 500;
+  private static final long RETRY_AFTER_MILLIS = 1_000;
 
   private final CoordinationLoop loop;
-  private final Router router;
   private final Coordinator coordinator;
   private final Supplier<ConfigurationDocument> configuration;
+  private final WaitingLine<Waiting> line;
   private Map<UpstreamId, InetSocketAddress> addresses = Map.of();
+  private Map<OrganisationId, Double> weights = Map.of();
 
   RouterPlacement(
       CoordinationLoop loop,
       Coordinator coordinator,
       Supplier<ConfigurationDocument> configuration) {
     this.loop = loop;
-    this.router = coordinator.router();
     this.coordinator = coordinator;
     this.configuration = configuration;
+    this.line = new WaitingLine<>(loop, RouterPlacement::refuseWaiting);
+    loop.every(DISPATCH_PERIOD_MILLIS, this::dispatch);
   }
 
   void apply(ConfigurationDocument document) {
@@ -57,59 +63,107 @@
       next.put(new UpstreamId(upstream.id()), address(upstream.address()));
     }
     addresses = next;
+    Map<OrganisationId, Double> rates = new HashMap<>();
+    for (Organisation organisation : document.organisations()) {
+      rates.put(new OrganisationId(organisation.id()), organisation.ratePerSecond());
+    }
+    weights = rates;
   }
 
   @Override
   public Mono<PlacementDecision> place(PlacementRequest request) {
-    return loop.call(answer -> tryPlace(request, loop.nowMillis(), answer));
+    return Mono.create(sink -> loop.execute(() -> begin(request, sink)));
   }
 
-  private void tryPlace(
-      PlacementRequest request, long sinceMillis, Consumer<PlacementDecision> answer) {
-    PlacementDecision decision = decide(request);
-    if (mayWait(request, decision, sinceMillis)) {
-      loop.after(WAIT_STEP_MILLIS, () -> tryPlace(request, sinceMillis, answer));
+  private void begin(PlacementRequest request, MonoSink<PlacementDecision> sink) {
+    ModelId model = UpstreamSpecs.model(configuration.get(), request.target());
+    // A request outside any chat keeps its place on a retry by its content.
+    ChatId chat = request.chat().orElseGet(() -> new ChatId(request.fingerprint()));
+    OrganisationId organisation = request.organisation().orElse(OPEN);
+    RouteRequest route = new RouteRequest(chat, model, organisation, request.tried());
+    Waiting waiting = new Waiting(request, route, sink, loop.nowMillis());
+    if (line.isEmpty(model)) {
+      tryAtOnce(waiting);
     } else {
-      answer.accept(decision);
+      queue(waiting);
     }
   }
 
-  private boolean mayWait(PlacementRequest request, PlacementDecision decision, long sinceMillis) {
-    if (!(decision instanceof PlacementDecision.Refused refused)) {
-      return false;
+  private void tryAtOnce(Waiting waiting) {
+    switch (coordinator.router().route(waiting.route)) {
+      case RouteResult.Chosen chosen -> waiting.sink.success(placed(waiting, chosen.slot()));
+      case RouteResult.Refused refused -> {
+        switch (refused.reason()) {
+          case AWAITING_PERMIT -> pollPermit(waiting);
+          case HELD_BACK, OVERLOADED -> queue(waiting);
+          default -> waiting.sink.success(refusal(refused));
+        }
+      }
     }
-    boolean passing =
-        refused.refusal() == PlacementRefusal.COLD
-            || refused.refusal() == PlacementRefusal.OVERLOADED;
-    boolean waitedLong = loop.nowMillis() - sinceMillis >= MAX_WAIT_MILLIS;
-    return passing && !waitedLong && request.deadline().remainingMillis() > MAX_WAIT_MILLIS;
   }
 
-  private PlacementDecision decide(PlacementRequest request) {
-    ModelId model = UpstreamSpecs.model(configuration.get(), request.target());
-    // A request outside any chat keeps its place on a retry by its content.
-    ChatId chat = request.chat().orElseGet(() -> new ChatId(request.fingerprint()));
-    OrganisationId organisation = request.organisation().orElse(OPEN);
-    RouteResult result = router.route(new RouteRequest(chat, model, organisation, request.tried()));
-    return switch (result) {
-      case RouteResult.Chosen chosen -> placed(chosen);
-      case RouteResult.Refused refused ->
-          new PlacementDecision.Refused(reason(refused.reason()), refused.retryAfterMillis());
+  private void pollPermit(Waiting waiting) {
+    if (loop.nowMillis() - waiting.sinceMillis < MAX_PERMIT_WAIT_MILLIS) {
+      loop.after(PERMIT_POLL_MILLIS, () -> tryAtOnce(waiting));
+    } else {
+      queue(waiting);
+    }
+  }
+
+  private void queue(Waiting waiting) {
+    ModelId model = waiting.route.model();
+    OrganisationId organisation = waiting.route.organisation();
+    Offer<Waiting> offer =
+        line.offer(
+            model,
+            organisation,
+            Math.max(1, weights.getOrDefault(organisation, 1.0)),
+            waiting.request.deadline().remainingMillis(),
+            waiting);
+    switch (offer) {
+      case Offer.Queued<Waiting> queued ->
+          waiting.sink.onCancel(() -> loop.execute(() -> line.cancel(model, queued.entry())));
+      case Offer.Refused<Waiting> refused -> refuseWaiting(waiting, refused.reason());
+    }
+  }
+
+  private void dispatch() {
+    line.dispatch(this::tryQueued);
+  }
+
+  private boolean tryQueued(Waiting waiting) {
+    return switch (coordinator.router().route(waiting.route)) {
+      case RouteResult.Chosen chosen -> {
+        waiting.sink.success(placed(waiting, chosen.slot()));
+        yield true;
+      }
+      case RouteResult.Refused refused -> {
+        boolean passing =
+            switch (refused.reason()) {
+              case AWAITING_PERMIT, HELD_BACK, OVERLOADED -> true;
+              case NO_UPSTREAM, OUT_OF_SERVICE, ALL_TRIED -> false;
+            };
+        if (!passing) {
+          waiting.sink.success(refusal(refused));
+        }
+        yield !passing;
+      }
     };
   }
 
-  private PlacementDecision placed(RouteResult.Chosen chosen) {
-    UpstreamId upstream = chosen.slot().upstream();
+  private PlacementDecision placed(Waiting waiting, Slot slot) {
     return new PlacementDecision.Placed(
-        upstream,
-        addresses.get(upstream),
-        outcome -> loop.execute(() -> release(chosen.slot(), outcome)));
+        slot.upstream(),
+        addresses.get(slot.upstream()),
+        outcome -> loop.execute(() -> release(waiting.route.model(), slot, outcome)));
   }
 
-  private void release(Slot slot, AttemptOutcome outcome) {
+  private void release(ModelId model, Slot slot, AttemptOutcome outcome) {
     switch (outcome) {
-      case AttemptOutcome.Answered answered ->
-          coordinator.answered(slot.upstream(), answered.firstByteMillis());
+      case AttemptOutcome.Answered answered -> {
+        coordinator.answered(slot.upstream(), answered.firstByteMillis());
+        line.answered(model, loop.nowMillis() - slot.startedAtMillis());
+      }
       case AttemptOutcome.Unreachable unreachable -> coordinator.failed(slot.upstream());
       case AttemptOutcome.Lost lost -> coordinator.failed(slot.upstream());
       case AttemptOutcome.Stalled stalled -> coordinator.failed(slot.upstream());
@@ -118,6 +172,19 @@
     slot.release();
   }
 
+  private static void refuseWaiting(Waiting waiting, QueueRefusal reason) {
+    PlacementRefusal refusal =
+        switch (reason) {
+          case FULL -> PlacementRefusal.OVERLOADED;
+          case TOO_LATE -> PlacementRefusal.DEADLINE_TOO_SHORT;
+        };
+    waiting.sink.success(new PlacementDecision.Refused(refusal, RETRY_AFTER_MILLIS));
+  }
+
+  private static PlacementDecision refusal(RouteResult.Refused refused) {
+    return new PlacementDecision.Refused(reason(refused.reason()), refused.retryAfterMillis());
+  }
+
   private static PlacementRefusal reason(RefusalReason reason) {
     return switch (reason) {
       case NO_UPSTREAM -> PlacementRefusal.UNKNOWN_MODEL;
@@ -132,4 +199,11 @@
     return new InetSocketAddress(
         text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
   }
+
+  /** A request on its way to a slot. */
+  private record Waiting(
+      PlacementRequest request,
+      RouteRequest route,
+      MonoSink<PlacementDecision> sink,
+      long sinceMillis) {}
 }
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/WaitingLine.java
@@ -0,0 +1,90 @@
+package org.ragworttide.daemon.runtime;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Predicate;
+import org.ragworttide.coordination.id.ModelId;
+import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.queueing.Entry;
+import org.ragworttide.coordination.queueing.FairQueue;
+import org.ragworttide.coordination.queueing.Offer;
+import org.ragworttide.coordination.queueing.Priority;
+import org.ragworttide.coordination.queueing.QueueRefusal;
+import org.ragworttide.coordination.queueing.QueueSettings;
+import org.ragworttide.coordination.queueing.Work;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * Queues requests that no upstream can take now, fairly between organisations, for each model.
+ *
+ * <p>Invariant: a request leaves the queue once. Confined to the coordination thread.
+ *
+ * @param <T> the type of what waits
+ */
+final class WaitingLine<T> {
+  private static final double NEWEST_SHARE = 0.1;
+
+  private final TimerService time;
+  private final BiConsumer<T, QueueRefusal> refused;
+  private final Map<ModelId, FairQueue<T>> queues = new HashMap<>();
+  private final Map<ModelId, Double> answerMillis = new HashMap<>();
+
+  WaitingLine(TimerService time, BiConsumer<T, QueueRefusal> refused) {
+    this.time = time;
+    this.refused = refused;
+  }
+
+  boolean isEmpty(ModelId model) {
+    FairQueue<T> queue = queues.get(model);
+    return queue == null || queue.size() == 0;
+  }
+
+  Offer<T> offer(
+      ModelId model, OrganisationId organisation, double weight, long remainingMillis, T waiting) {
+    long expected = answerMillis.getOrDefault(model, 0.0).longValue();
+    Work work =
+        new Work(
+            organisation,
+            Priority.INTERACTIVE,
+            1 / weight,
+            time.nowMillis() + remainingMillis,
+            expected);
+    return queue(model).offer(work, waiting);
+  }
+
+  /** Takes in how long an answer took, to tell what can still be whole in time. */
+  void answered(ModelId model, long millis) {
+    answerMillis.merge(model, (double) millis, (old, now) -> old + NEWEST_SHARE * (now - old));
+  }
+
+  void cancel(ModelId model, Entry<T> entry) {
+    queue(model).cancel(entry);
+  }
+
+  /** Offers what waits to the taker, in fair order, until one can't be taken. */
+  void dispatch(Predicate<T> taker) {
+    queues.values().forEach(queue -> dispatch(queue, taker));
+  }
+
+  int size() {
+    return queues.values().stream().mapToInt(FairQueue::size).sum();
+  }
+
+  private void dispatch(FairQueue<T> queue, Predicate<T> taker) {
+    if (queue.size() > 0) {
+      queue.expire();
+      queue.dispatch(entry -> taker.test(entry.attachment()));
+    }
+  }
+
+  private FairQueue<T> queue(ModelId model) {
+    return queues.computeIfAbsent(
+        model,
+        id ->
+            new FairQueue<>(
+                time,
+                QueueSettings.DEFAULTS,
+                (entry, reason) -> refused.accept(entry.attachment(), reason)));
+  }
+}
