--- a/daemon/src/main/java/org/ragworttide/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/CallerServer.java
@@ -2,9 +2,11 @@
 
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.ssl.SslContext;
 import io.netty.util.concurrent.ImmediateEventExecutor;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -29,13 +31,16 @@
   private final IntakeCheck intake;
   private final Relay relay;
   private final PathMetrics metrics;
+  private final Optional<SslContext> tls;
   private DisposableServer server;
 
   private CallerServer(
       CallerSettings settings,
       Supplier<ConfigurationDocument> configuration,
       Relay relay,
-      PathMetrics metrics) {
+      PathMetrics metrics,
+      Optional<SslContext> tls) {
+    this.tls = tls;
     this.settings = settings;
     this.intake = new IntakeCheck(new ConfigurationIndexes(configuration));
     this.relay = relay;
@@ -51,18 +56,20 @@
    * @param configuration the configuration in force, null as long as there is none
    * @param relay what answers the requests
    * @param metrics counts refusals and running requests
+   * @param tls how the listener proves who it is, empty for plain connections
    */
   public static Mono<CallerServer> start(
       CallerSettings settings,
       Supplier<ConfigurationDocument> configuration,
       Relay relay,
-      PathMetrics metrics) {
-    return Mono.defer(() -> new CallerServer(settings, configuration, relay, metrics).bind());
+      PathMetrics metrics,
+      Optional<SslContext> tls) {
+    return Mono.defer(() -> new CallerServer(settings, configuration, relay, metrics, tls).bind());
   }
 
   private Mono<CallerServer> bind() {
     BodyReader bodies = new BodyReader(settings);
-    return HttpServer.create()
+    return secured(HttpServer.create())
         .host(settings.host())
         .port(settings.port())
         .channelGroup(connections)
@@ -80,6 +87,10 @@
             });
   }
 
+  private HttpServer secured(HttpServer plain) {
+    return tls.map(context -> plain.secure(spec -> spec.sslContext(context))).orElse(plain);
+  }
+
   private HttpRequestDecoderSpec limits(HttpRequestDecoderSpec decoder) {
     return decoder
         .maxInitialLineLength(settings.maxTargetBytes())
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/DaemonOptions.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/DaemonOptions.java
@@ -3,6 +3,8 @@
 import org.ragworttide.daemon.DaemonHttp;
 import org.ragworttide.daemon.caller.CallerSettings;
 import org.ragworttide.daemon.relay.RelaySettings;
+import org.ragworttide.daemon.tls.IdentityFiles;
+import org.ragworttide.daemon.tls.TlsSettings;
 import org.ragworttide.daemon.upstream.UpstreamSettings;
 import org.ragworttide.document.settings.DaemonSettings;
 
@@ -22,7 +24,13 @@
         RelaySettings.defaults().withStallMillis(settings.limits().streamStallMillis()),
         UpstreamSettings.defaults()
             .withConnections(
-                settings.upstream().connectMillis(), settings.upstream().maxConnections()));
+                settings.upstream().connectMillis(), settings.upstream().maxConnections()),
+        TlsSettings.of(
+            settings
+                .callers()
+                .tls()
+                .map(files -> new IdentityFiles(files.certificateFile(), files.keyFile())),
+            settings.upstream().tls().map(DaemonSettings.ClientTls::caFile)));
   }
 
   static String text(DaemonSettings.Address address) {
--- a/daemon/src/main/java/org/ragworttide/daemon/upstream/UpstreamClient.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/UpstreamClient.java
@@ -5,8 +5,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.ssl.SslContext;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.reactivestreams.Publisher;
@@ -33,19 +35,27 @@
   private final HttpClient pooled;
   private final HttpClient unpooled;
 
-  /** Creates a client; connections are opened as needed. */
-  public UpstreamClient(UpstreamSettings settings) {
+  /**
+   * Creates a client; connections are opened as needed.
+   *
+   * @param settings limits
+   * @param tls how upstreams prove who they are, empty for plain connections
+   */
+  public UpstreamClient(UpstreamSettings settings, Optional<SslContext> tls) {
     this.connections =
         ConnectionProvider.builder("upstream")
             .maxConnections(settings.maxConnections())
             .maxIdleTime(Duration.ofMillis(settings.maxIdleMillis()))
             .build();
-    this.pooled = configure(HttpClient.create(connections), settings);
-    this.unpooled = configure(HttpClient.newConnection(), settings).keepAlive(false);
+    this.pooled = configure(HttpClient.create(connections), settings, tls);
+    this.unpooled = configure(HttpClient.newConnection(), settings, tls).keepAlive(false);
   }
 
-  private static HttpClient configure(HttpClient client, UpstreamSettings settings) {
-    return client
+  private static HttpClient configure(
+      HttpClient client, UpstreamSettings settings, Optional<SslContext> tls) {
+    HttpClient secured =
+        tls.map(context -> client.secure(spec -> spec.sslContext(context))).orElse(client);
+    return secured
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis())
         .disableRetry(true)
         .followRedirect(false);
--- a/daemon/src/test/java/org/ragworttide/daemon/BadInputTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/BadInputTest.java
@@ -140,6 +140,6 @@
     CallerSettings caller =
         new CallerSettings("127.0.0.1", 0, 8 << 10, 16 << 10, maxBytes, timeoutMillis, 60_000, 0);
     DaemonHttp.Settings defaults = PathFixture.defaults();
-    return new DaemonHttp.Settings(caller, defaults.relay(), defaults.upstream());
+    return new DaemonHttp.Settings(caller, defaults.relay(), defaults.upstream(), defaults.tls());
   }
 }
--- a/daemon/src/test/java/org/ragworttide/daemon/DrainTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/DrainTest.java
@@ -94,7 +94,7 @@
         new CallerSettings(
             "127.0.0.1", 0, 8 << 10, 16 << 10, 1 << 20, 10_000, 60_000, noticeMillis);
     DaemonHttp.Settings defaults = PathFixture.defaults();
-    return new DaemonHttp.Settings(caller, defaults.relay(), defaults.upstream());
+    return new DaemonHttp.Settings(caller, defaults.relay(), defaults.upstream(), defaults.tls());
   }
 
   private static void awaitRefusedConnections(PathFixture path) throws Exception {
--- a/daemon/src/test/java/org/ragworttide/daemon/PathFixture.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/PathFixture.java
@@ -135,6 +135,18 @@
     http.onConfiguration(old, configuration.get());
   }
 
+  /** Puts a configuration in force in which all upstreams listen at the address. */
+  void replaceUpstreams(String address) {
+    ConfigurationDocument old = configuration.get();
+    List<Upstream> moved =
+        old.upstreams().stream()
+            .map(it -> entry(it.id(), it.kind(), address, it.models()))
+            .toList();
+    configuration.set(
+        new ConfigurationDocument(
+            2, old.fleet(), old.zones(), old.organisations(), old.keys(), moved, old.routes()));
+  }
+
   ScriptedUpstream upstream(int index) {
     return upstreams.get(index);
   }
--- a/daemon/src/test/java/org/ragworttide/daemon/StreamFailureTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/StreamFailureTest.java
@@ -253,7 +253,7 @@
 
   private static DaemonHttp.Settings withRelay(RelaySettings relay) {
     DaemonHttp.Settings defaults = PathFixture.defaults();
-    return new DaemonHttp.Settings(defaults.caller(), relay, defaults.upstream());
+    return new DaemonHttp.Settings(defaults.caller(), relay, defaults.upstream(), defaults.tls());
   }
 
   private static String chat(PathFixture path) {
