--- a/bench/src/main/java/org/ragworttide/bench/routing/RoutingBench.java
+++ b/bench/src/main/java/org/ragworttide/bench/routing/RoutingBench.java
@@ -30,7 +30,11 @@
     Options options = new Options();
     options.addOption(null, "size", true, "today or target; both when left out");
     options.addOption(null, "seeds", true, "seeds for each measurement (3)");
-    options.addOption(null, "only", true, "fleet, overload, cold or failure; all when left out");
+    options.addOption(
+        null,
+        "only",
+        true,
+        "fleet, overload, cold, memory, failure or decision; all when left out");
     options.addOption(null, "plots", true, "directory for the plots; none when left out");
     try {
       return run(new DefaultParser().parse(options, args));
@@ -60,11 +64,17 @@
       if (only.equals("all") || only.equals("cold")) {
         PartBenches.cold(size.shortened(60, 0), seeds, FIRST_SEED, results);
       }
+      if (only.equals("all") || only.equals("memory")) {
+        PartBenches.memory(size, results);
+      }
       if (only.equals("all") || only.equals("failure")) {
         PartBenches.failure(
             size.shortened(size == Size.TODAY ? 600 : 60, 0), seeds, FIRST_SEED, results);
       }
     }
+    if (only.equals("all") || only.equals("decision")) {
+      DecisionBench.run(results);
+    }
     return results.passed() ? 0 : EXIT_BOUND;
   }
 
