Let peers speak mutual TLS where the settings ask for it

Settings with peers.tls were accepted and the daemons spoke plain all the same; the listener and the links now take both ends' certificates and the authority from PEM, read again on change like those towards callers. Control traffic is counted before TLS, so its bytes on the wire are somewhat more.

--- a/daemon/src/main/java/org/ragworttide/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/peer/PeerNetwork.java
@@ -6,6 +6,7 @@
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.message.PeerMessage;
 import org.ragworttide.coordination.message.Transport;
+import org.ragworttide.daemon.tls.PeerTls;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.tcp.TcpClient;
@@ -19,6 +20,7 @@
 public final class PeerNetwork implements Transport {
   private final PeerLinks links;
   private final PeerServer server;
+  private final TcpServer listening;
   private volatile DisposableServer listener;
 
   /**
@@ -28,20 +30,25 @@
    * @param inbox where messages of peers go
    * @param addresses tells a VM's peer address as host and port
    * @param metrics where traffic is counted
+   * @param tls how peers prove who they are, empty for plain connections
    */
   public PeerNetwork(
       PeerIdentity self,
       PeerInbox inbox,
       Function<VmId, Optional<String>> addresses,
-      MetricRegistry metrics) {
+      MetricRegistry metrics,
+      Optional<PeerTls> tls) {
     PeerTraffic traffic = new PeerTraffic(metrics);
-    this.links = new PeerLinks(TcpClient.newConnection(), self, traffic, addresses);
+    TcpClient plain = TcpClient.newConnection();
+    TcpClient client = tls.map(it -> it.secure(plain)).orElse(plain);
+    this.listening = tls.map(it -> it.secure(TcpServer.create())).orElseGet(TcpServer::create);
+    this.links = new PeerLinks(client, self, traffic, addresses);
     this.server = new PeerServer(self, inbox, traffic);
   }
 
   /** Starts listening. */
   public Mono<Void> bind(String host, int port) {
-    return server.bind(TcpServer.create(), host, port).doOnNext(it -> listener = it).then();
+    return server.bind(listening, host, port).doOnNext(it -> listener = it).then();
   }
 
   @Override
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
@@ -24,6 +24,7 @@
 import org.ragworttide.daemon.platform.PlatformClient;
 import org.ragworttide.daemon.platform.PlatformFeed;
 import org.ragworttide.daemon.relay.RelayPorts;
+import org.ragworttide.daemon.tls.PeerTls;
 import org.ragworttide.document.ConfigurationDocument;
 import org.ragworttide.document.settings.DaemonSettings;
 import reactor.core.publisher.Mono;
@@ -53,10 +54,10 @@
   private final PlatformFeed feed;
   private volatile DaemonHttp http;
 
-  private Daemon(DaemonSettings settings) {
+  private Daemon(DaemonSettings settings, Optional<PeerTls> tls) {
     this.settings = settings;
     PeerIdentity self = new PeerIdentity(settings.fleet(), settings.vm(), incarnation);
-    this.peers = new PeerNetwork(self, this::receive, this::address, metrics);
+    this.peers = new PeerNetwork(self, this::receive, this::address, metrics, tls);
     this.facts = new PlatformFacts(loop, configuration, audit);
     this.coordinator =
         new Coordinator(settings.vm(), incarnation, loop, peers, facts, RouterSettings.DEFAULTS);
@@ -67,7 +68,8 @@
 
   /** Starts a daemon with the settings. */
   public static Mono<Daemon> start(DaemonSettings settings) {
-    return Mono.defer(() -> new Daemon(settings).open());
+    return Mono.fromCallable(() -> DaemonOptions.peerTls(settings))
+        .flatMap(tls -> new Daemon(settings, tls).open());
   }
 
   /**
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/DaemonOptions.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/DaemonOptions.java
@@ -1,9 +1,13 @@
 package org.ragworttide.daemon.runtime;
 
+import java.io.IOException;
+import java.security.GeneralSecurityException;
+import java.util.Optional;
 import org.ragworttide.daemon.DaemonHttp;
 import org.ragworttide.daemon.caller.CallerSettings;
 import org.ragworttide.daemon.relay.RelaySettings;
 import org.ragworttide.daemon.tls.IdentityFiles;
+import org.ragworttide.daemon.tls.PeerTls;
 import org.ragworttide.daemon.tls.TlsSettings;
 import org.ragworttide.daemon.upstream.UpstreamSettings;
 import org.ragworttide.document.settings.DaemonSettings;
@@ -33,6 +37,17 @@
             settings.upstream().tls().map(DaemonSettings.ClientTls::caFile)));
   }
 
+  static Optional<PeerTls> peerTls(DaemonSettings settings)
+      throws IOException, GeneralSecurityException {
+    Optional<DaemonSettings.MutualTls> files = settings.peers().tls();
+    if (files.isEmpty()) {
+      return Optional.empty();
+    }
+    IdentityFiles identity =
+        new IdentityFiles(files.get().certificateFile(), files.get().keyFile());
+    return Optional.of(PeerTls.load(identity, files.get().caFile(), TlsSettings.CHECK_PERIOD));
+  }
+
   static String text(DaemonSettings.Address address) {
     return address.host() + ":" + address.port();
   }
--- a/daemon/src/main/java/org/ragworttide/daemon/tls/ReloadingIdentity.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/tls/ReloadingIdentity.java
@@ -6,13 +6,14 @@
 import java.security.Principal;
 import java.security.PrivateKey;
 import java.security.cert.X509Certificate;
+import java.util.Arrays;
 import java.util.List;
 import java.util.UUID;
 import javax.net.ssl.SSLEngine;
 import javax.net.ssl.X509ExtendedKeyManager;
 
 /**
- * Proves a server's identity by a certificate and key that can be read again.
+ * Proves one end's identity by a certificate and key that can be read again.
  *
  * <p>Invariant: a handshake uses a certificate and key of one reading, also when the files are read
  * again meanwhile. Safe for use by any thread.
@@ -64,12 +65,19 @@
 
   @Override
   public String[] getClientAliases(String keyType, Principal[] issuers) {
-    return new String[0];
+    return new String[] {current.alias()};
   }
 
   @Override
   public String chooseClientAlias(String[] keyTypes, Principal[] issuers, Socket socket) {
-    return null;
+    Identity identity = current;
+    boolean fits = Arrays.asList(keyTypes).contains(identity.key().getAlgorithm());
+    return fits ? identity.alias() : null;
+  }
+
+  @Override
+  public String chooseEngineClientAlias(String[] keyTypes, Principal[] issuers, SSLEngine engine) {
+    return chooseClientAlias(keyTypes, issuers, null);
   }
 
   private Identity identity(String alias) {
--- a/daemon/src/main/java/org/ragworttide/daemon/tls/Tls.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/tls/Tls.java
@@ -1,5 +1,6 @@
 package org.ragworttide.daemon.tls;
 
+import io.netty.handler.ssl.ClientAuth;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslContextBuilder;
 import java.io.IOException;
@@ -63,6 +64,42 @@
     return new Tls(context, new TlsReload(List.of(authorityFile), trust::load), period);
   }
 
+  static Tls mutualServer(IdentityFiles files, Path authorityFile, Duration period)
+      throws IOException, GeneralSecurityException {
+    ReloadingIdentity identity = new ReloadingIdentity(files);
+    ReloadingTrust trust = new ReloadingTrust(authorityFile);
+    SslContext context =
+        SslContextBuilder.forServer(identity)
+            .trustManager(trust)
+            .clientAuth(ClientAuth.REQUIRE)
+            .protocols(PROTOCOLS)
+            .build();
+    return new Tls(context, mutualReload(files, authorityFile, identity, trust), period);
+  }
+
+  static Tls mutualClient(IdentityFiles files, Path authorityFile, Duration period)
+      throws IOException, GeneralSecurityException {
+    ReloadingIdentity identity = new ReloadingIdentity(files);
+    ReloadingTrust trust = new ReloadingTrust(authorityFile);
+    SslContext context =
+        SslContextBuilder.forClient()
+            .keyManager(identity)
+            .trustManager(trust)
+            .protocols(PROTOCOLS)
+            .build();
+    return new Tls(context, mutualReload(files, authorityFile, identity, trust), period);
+  }
+
+  private static TlsReload mutualReload(
+      IdentityFiles files, Path authorityFile, ReloadingIdentity identity, ReloadingTrust trust) {
+    return new TlsReload(
+        List.of(files.certificateFile(), files.keyFile(), authorityFile),
+        () -> {
+          identity.load();
+          trust.load();
+        });
+  }
+
   /** Returns the context that connections are made with. */
   public SslContext context() {
     return context;
--- a/daemon/src/main/java/org/ragworttide/daemon/tls/TlsSettings.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/tls/TlsSettings.java
@@ -15,7 +15,8 @@
  */
 public record TlsSettings(
     Optional<IdentityFiles> callers, Optional<Path> upstreamAuthority, Duration checkPeriod) {
-  private static final Duration CHECK_PERIOD = Duration.ofSeconds(5);
+  /** How often files are looked at again, if nothing else is said. */
+  public static final Duration CHECK_PERIOD = Duration.ofSeconds(5);
 
   /** Returns settings without TLS. */
   public static TlsSettings plain() {
--- a/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
@@ -43,7 +43,8 @@
             identity("fleet", "vm-1"),
             (from, run, message) -> received.add(message),
             vm -> Optional.empty(),
-            metrics);
+            metrics,
+            Optional.empty());
     receiver.bind(HOST, 0).block();
     port = receiver.port();
   }
@@ -168,7 +169,8 @@
         identity(fleet, "vm-2"),
         (from, run, message) -> {},
         vm -> Optional.of(HOST + ":" + port),
-        new MetricRegistry());
+        new MetricRegistry(),
+        Optional.empty());
   }
 
   private static PeerIdentity identity(String fleet, String vm) {
