Bind a retry to its content and tell callers how to authenticate

A caller that sent one Request-Id with everything would have had each request counted as the retry of another; the limits now get a name that only the same content shares. 401 names the scheme and 405 the method, as HTTP asks.

--- a/daemon/src/main/java/org/ragworttide/daemon/caller/AnswerWriter.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/AnswerWriter.java
@@ -47,15 +47,20 @@
 
   /** Writes a refusal. */
   static Mono<Void> refusal(Problem problem, HttpServerResponse response, RequestId request) {
-    byte[] body = ProblemJson.body(problem, request);
     response
         .status(problem.code().status())
         .header(HttpHeaderNames.CONTENT_TYPE, ProblemJson.CONTENT_TYPE);
+    switch (problem.code()) {
+      case KEY_UNKNOWN, KEY_WITHDRAWN ->
+          response.header(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
+      case METHOD_NOT_ALLOWED -> response.header(HttpHeaderNames.ALLOW, "POST");
+      default -> {}
+    }
     if (problem.retryAfterMillis() > 0) {
       long seconds = Math.ceilDiv(problem.retryAfterMillis(), MILLIS_PER_SECOND);
       response.header(HttpHeaderNames.RETRY_AFTER, Long.toString(seconds));
     }
-    return body(body, response);
+    return body(ProblemJson.body(problem, request), response);
   }
 
   private static Mono<Void> whole(AnswerPart.Whole whole, HttpServerResponse response) {
--- a/daemon/src/main/java/org/ragworttide/daemon/decision/RateLimits.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/decision/RateLimits.java
@@ -15,7 +15,7 @@
    * Asks to run one request of the organisation.
    *
    * @param organisation whose rate counts
-   * @param request the request, for counting a caller's retry once
+   * @param request names the request and its content, for counting a caller's retry once
    */
   Mono<RateDecision> acquire(OrganisationId organisation, RequestId request);
 }
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/CallerRequest.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/CallerRequest.java
@@ -1,6 +1,7 @@
 package org.ragworttide.daemon.relay;
 
 import java.util.Optional;
+import org.ragworttide.coordination.hash.Rendezvous;
 import org.ragworttide.coordination.id.ChatId;
 import org.ragworttide.coordination.id.OrganisationId;
 import org.ragworttide.coordination.id.RequestKey;
@@ -41,4 +42,10 @@
       throw new IllegalArgumentException("a non-idempotent request needs a key");
     }
   }
+
+  /** Returns a name that a caller's retry shares, and a request of other content does not. */
+  public RequestId retryName() {
+    long hash = Rendezvous.hash(id.value() + '\n' + fingerprint);
+    return new RequestId(Long.toHexString(hash));
+  }
 }
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/Relay.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/Relay.java
@@ -60,7 +60,7 @@
     }
     return ports
         .rates()
-        .acquire(request.organisation().get(), request.id())
+        .acquire(request.organisation().get(), request.retryName())
         .flatMapMany(
             decision ->
                 switch (decision) {
--- a/daemon/src/test/java/org/ragworttide/daemon/BadInputTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/BadInputTest.java
@@ -77,6 +77,15 @@
     }
   }
 
+  @Test
+  public void chatByAnotherMethodIsRefused() throws IOException {
+    try (PathFixture path = PathFixture.start(ANSWER)) {
+      HttpResponse<String> response = path.send(path.request(PathFixture.CHAT));
+      assertEquals(response.statusCode(), 405);
+      assertEquals(response.headers().firstValue("Allow").orElse(""), "POST");
+    }
+  }
+
   @Test
   public void unknownModelIsRefused() throws IOException {
     try (PathFixture path = PathFixture.start(ANSWER)) {
--- a/daemon/src/test/java/org/ragworttide/daemon/PathTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/PathTest.java
@@ -64,6 +64,7 @@
             path.send(path.request("/stock").setHeader("Authorization", "Bearer " + key));
         assertEquals(response.statusCode(), 401);
         assertTrue(response.body().contains("\"outcome\":\"not-run\""), response.body());
+        assertEquals(response.headers().firstValue("WWW-Authenticate").orElse(""), "Bearer");
       }
       assertEquals(path.arrivals().size(), 0);
     }
--- /dev/null
+++ b/daemon/src/test/java/org/ragworttide/daemon/relay/CallerRequestTest.java
@@ -0,0 +1,45 @@
+package org.ragworttide.daemon.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertThrows;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
+import org.ragworttide.daemon.decision.Deadline;
+import org.ragworttide.daemon.decision.PlacementRequest.Target;
+import org.ragworttide.daemon.decision.RequestId;
+import org.ragworttide.daemon.upstream.UpstreamRequest;
+import org.testng.annotations.Test;
+
+/** Shows what makes two requests one for the limits, and that a booking needs a key. */
+public final class CallerRequestTest {
+
+  @Test
+  public void retryHasTheSameNameAndOtherContentAnother() {
+    RequestId first = request("id-1", "aa", true).retryName();
+    assertEquals(request("id-1", "aa", true).retryName(), first);
+    assertNotEquals(request("id-1", "bb", true).retryName(), first);
+    assertNotEquals(request("id-2", "aa", true).retryName(), first);
+  }
+
+  @Test
+  public void nonIdempotentRequestNeedsKey() {
+    assertThrows(IllegalArgumentException.class, () -> request("id-1", "aa", false));
+  }
+
+  private static CallerRequest request(String id, String fingerprint, boolean idempotent) {
+    return new CallerRequest(
+        new RequestId(id),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        Deadline.afterMillis(1_000),
+        new Target.ServiceRoute("stock"),
+        fingerprint,
+        false,
+        new UpstreamRequest(
+            HttpMethod.GET, "/stock", new DefaultHttpHeaders(), new byte[0], idempotent));
+  }
+}
