Give back slots that come after their caller has left

A placement whose caller hung up meanwhile was dropped with its slot, which then counted as load for ever. A placement is no longer cancelled midway, and a slot that comes too late is released at once. Acting on a decision moves off the thread that made it, so that a fault of the path can't end the coordination loop, which takes any exception for a broken invariant.

--- a/daemon/src/main/java/org/ragworttide/daemon/relay/ClaimedRun.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/ClaimedRun.java
@@ -10,6 +10,7 @@
 import org.ragworttide.daemon.decision.Claims;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 
 /**
  * Runs a non-idempotent request under a claim on its key.
@@ -56,7 +57,9 @@
   }
 
   private Mono<ClaimDecision> claim() {
-    return claims.claim(request.organisation().orElse(OPEN_ROUTES), request.key().orElseThrow());
+    return claims
+        .claim(request.organisation().orElse(OPEN_ROUTES), request.key().orElseThrow())
+        .publishOn(Schedulers.parallel());
   }
 
   private Mono<AnswerPart> onDecision(ClaimDecision decision, Flux<AnswerPart> granted) {
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/Relay.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/Relay.java
@@ -6,6 +6,7 @@
 import org.ragworttide.daemon.upstream.UpstreamClient;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 
 /**
  * Answers callers' requests by way of limits, claims and upstreams.
@@ -61,6 +62,7 @@
     return ports
         .rates()
         .acquire(request.organisation().get(), request.retryName())
+        .publishOn(Schedulers.parallel())
         .flatMapMany(
             decision ->
                 switch (decision) {
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/RelayPorts.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/RelayPorts.java
@@ -8,7 +8,8 @@
 /**
  * The decisions that the relay asks for.
  *
- * <p>Immutable, safe for use by any thread.
+ * <p>The relay leaves the thread on which a decision comes before it acts on it. Immutable, safe
+ * for use by any thread.
  *
  * @param rates admits requests within rates
  * @param claims grants runs of non-idempotent requests
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/RequestRun.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/RequestRun.java
@@ -9,6 +9,8 @@
 import org.ragworttide.daemon.upstream.UpstreamClient;
 import org.ragworttide.daemon.upstream.UpstreamEvent;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
 
 /**
  * Runs one request on one upstream after another until it is answered or refused.
@@ -31,6 +33,7 @@
   private final RunMetrics metrics;
   private final Set<UpstreamId> tried = new HashSet<>();
   private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.PENDING);
+  private final HeldSlot slots = new HeldSlot();
   private final StreamProgress progress = new StreamProgress();
   private AnswerPart.Whole withheld;
   private int attempts;
@@ -50,7 +53,7 @@
 
   /** Runs the request once subscribed; to be subscribed once. */
   Flux<AnswerPart> parts() {
-    return Flux.defer(this::next);
+    return Flux.defer(this::next).doFinally(unused -> slots.close());
   }
 
   /** Keeps a request that has not been sent from being sent, and returns the truth about it. */
@@ -84,7 +87,17 @@
             request.deadline(),
             tried,
             request.fingerprint());
-    return ports.placement().place(placement).flatMapMany(this::onDecision);
+    // A placement is not cancelled midway, since a slot that comes too late must be given back.
+    return Mono.fromFuture(
+            () -> ports.placement().place(placement).doOnNext(this::hold).toFuture(), true)
+        .publishOn(Schedulers.parallel())
+        .flatMapMany(this::onDecision);
+  }
+
+  private void hold(PlacementDecision decision) {
+    if (decision instanceof PlacementDecision.Placed placed) {
+      slots.hold(placed.slot());
+    }
   }
 
   private Flux<AnswerPart> onDecision(PlacementDecision decision) {
