--- a/daemon/src/test/java/org/ragworttide/daemon/BadInputTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/BadInputTest.java
@@ -77,6 +77,15 @@
     }
   }
 
+  @Test
+  public void chatByAnotherMethodIsRefused() throws IOException {
+    try (PathFixture path = PathFixture.start(ANSWER)) {
+      HttpResponse<String> response = path.send(path.request(PathFixture.CHAT));
+      assertEquals(response.statusCode(), 405);
+      assertEquals(response.headers().firstValue("Allow").orElse(""), "POST");
+    }
+  }
+
   @Test
   public void unknownModelIsRefused() throws IOException {
     try (PathFixture path = PathFixture.start(ANSWER)) {
@@ -140,6 +149,6 @@
     CallerSettings caller =
         new CallerSettings("127.0.0.1", 0, 8 << 10, 16 << 10, maxBytes, timeoutMillis, 60_000, 0);
     DaemonHttp.Settings defaults = PathFixture.defaults();
-    return new DaemonHttp.Settings(caller, defaults.relay(), defaults.upstream());
+    return new DaemonHttp.Settings(caller, defaults.relay(), defaults.upstream(), defaults.tls());
   }
 }
