Let the demo use the operators' listener and check it

Readiness now comes from /ready; a check reads status and audit trail after the changes, and the check of SIGTERM also wants readiness to fail while the stream still runs. The stand-ins publish load four times a second, which halves the wait for an idle report.

--- a/fakes/src/main/java/org/ragworttide/fakes/FakeSet.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/FakeSet.java
@@ -13,7 +13,7 @@
  * <p>Invariant: the engines' loads are published at a fixed interval. Safe for use by any thread.
  */
 public final class FakeSet implements AutoCloseable {
-  private static final Duration LOAD_INTERVAL = Duration.ofMillis(500);
+  private static final Duration LOAD_INTERVAL = Duration.ofMillis(250);
 
   /**
    * Where the stand-ins listen; 0 lets the machine choose.
--- a/fakes/src/main/java/org/ragworttide/fakes/demo/ChangeChecks.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/demo/ChangeChecks.java
@@ -1,5 +1,6 @@
 package org.ragworttide.fakes.demo;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +11,8 @@
 final class ChangeChecks {
   private static final int LONG_CHUNKS = 24;
   private static final long SLOW_CHUNK_MILLIS = 50;
+  private static final int STATUS_POLLS = 10;
+  private static final long NOTICE_MILLIS = 300;
   private static final long APPLY_MILLIS = 2_000;
   private static final long WITHDRAWN_SECONDS = 6;
   private static final int ZONE_CHATS = 24;
@@ -29,6 +32,7 @@
         new Check("a zone taken out gets no new work", this::zoneOut),
         new Check("a zone brought back gets work again", this::zoneBack),
         new Check("a withdrawn key ends its stream and is refused", this::withdrawn),
+        new Check("operators see the changes", this::operators),
         new Check("SIGTERM in mid-stream cuts nothing and exits 0", this::sigterm),
         new Check("no upstream saw a key", this::keysSeen));
   }
@@ -98,6 +102,34 @@
         "stream " + ended.summary() + "; then " + next.status());
   }
 
+  private Check.Result operators() {
+    String operators = fleet.daemons().get(0).spot().operatorsUrl();
+    JsonNode status = awaitVersion(operators);
+    String audit = caller.get(operators + "/audit?last=100").body();
+    int vms = status.path("vms").size();
+    boolean told = audit.contains("chania");
+    return new Check.Result(
+        vms == 3 && showsCurrentVersion(status) && told,
+        vms
+            + " VMs, configuration "
+            + status.path("configurationVersion")
+            + (told ? ", zone in" : ", zone not in")
+            + " audit");
+  }
+
+  private JsonNode awaitVersion(String operators) {
+    JsonNode status = caller.get(operators + "/status").json();
+    for (int i = 0; i < STATUS_POLLS && !showsCurrentVersion(status); i++) {
+      DemoCaller.pause(NOTICE_MILLIS);
+      status = caller.get(operators + "/status").json();
+    }
+    return status;
+  }
+
+  private boolean showsCurrentVersion(JsonNode status) {
+    return status.path("configurationVersion").asLong() == fleet.document().version();
+  }
+
   private Check.Result sigterm() throws Exception {
     slow(true);
     DaemonProcess daemon = fleet.daemons().get(2);
@@ -107,13 +139,15 @@
     final boolean running = !stream.isDone();
     fleet.publishLeaving(daemon, false);
     daemon.terminate();
+    DemoCaller.pause(NOTICE_MILLIS);
+    final int readiness = caller.get(daemon.spot().operatorsUrl() + "/ready").status();
     StreamAnswer answer = stream.get(20, TimeUnit.SECONDS);
     int code = daemon.awaitExit();
     fleet.publishLeaving(daemon, true);
     slow(false);
     return new Check.Result(
-        running && answer.wholeAs(chat.expected()) && code == 0,
-        answer.summary() + ", exit " + code);
+        running && answer.wholeAs(chat.expected()) && code == 0 && readiness == 503,
+        answer.summary() + ", exit " + code + ", readiness " + readiness);
   }
 
   private Check.Result keysSeen() {
--- a/fakes/src/main/java/org/ragworttide/fakes/demo/DemoMain.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/demo/DemoMain.java
@@ -72,7 +72,7 @@
 
   private static boolean awaitReady(DaemonProcess daemon, DemoCaller caller) {
     for (long waited = 0; waited < START_MILLIS && daemon.alive(); waited += POLL_MILLIS) {
-      if (caller.get(daemon.spot().callersUrl() + "/opening-hours").status() == 200) {
+      if (caller.get(daemon.spot().operatorsUrl() + "/ready").status() == 200) {
         return true;
       }
       DemoCaller.pause(POLL_MILLIS);
