--- a/cli/src/main/java/org/ragworttide/cli/OperatorsClient.java
+++ b/cli/src/main/java/org/ragworttide/cli/OperatorsClient.java
@@ -69,7 +69,7 @@
       JsonNode json = MAPPER.readTree(text);
       return json.isMissingNode() ? MAPPER.createObjectNode() : json;
     } catch (IOException e) {
-      return MAPPER.createObjectNode().put("text", text);
+      return MAPPER.createObjectNode().put("text", text.strip());
     }
   }
 
