Work on clocks whose readings are negative

A timer service may start anywhere, as System.nanoTime does. With an origin below zero an account took its owner for empty until time zero and its demand never decayed: 9 of 42 tests failed once the test clocks started at random negative readings (./build test -pl coordination -Dtest=**/limits/*Test). All state now starts at the clock's reading, and the test clocks of limits, versions, membership and the whole library start on both sides of zero.

Run: the same with CoordinatedLimitTest, VersionsTest and MembershipTest, 69 tests.

--- a/coordination/src/main/java/org/ragworttide/coordination/limits/DemandRate.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/DemandRate.java
@@ -13,6 +13,10 @@
   private double weight;
   private long updatedMillis;
 
+  DemandRate(long nowMillis) {
+    this.updatedMillis = nowMillis;
+  }
+
   void record(long nowMillis) {
     decay(nowMillis);
     weight += 1;
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/HolderAccount.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/HolderAccount.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
 import org.ragworttide.coordination.id.OrganisationId;
@@ -19,7 +20,7 @@
 
   private final OrganisationId organisation;
   private final TokenBucket reserve;
-  private final DemandRate demand = new DemandRate();
+  private final DemandRate demand;
   private final Deque<Permit> permits = new ArrayDeque<>(2);
   private final Deque<Waiter> waiting = new ArrayDeque<>(2);
   private final int home;
@@ -30,8 +31,9 @@
   HolderAccount(OrganisationId organisation, LimitShares shares, int home, long startMillis) {
     this.organisation = organisation;
     this.reserve = new TokenBucket(shares.reserve(), startMillis);
-    this.emptyUntilMillis = new long[shares.parts()];
+    this.emptyUntilMillis = filled(shares.parts(), startMillis);
     this.home = home;
+    this.demand = new DemandRate(startMillis);
   }
 
   /** Puts changed shares in force. */
@@ -40,7 +42,7 @@
       reserve.change(shares.reserve(), nowMillis);
     }
     if (shares.parts() != emptyUntilMillis.length) {
-      emptyUntilMillis = new long[shares.parts()];
+      emptyUntilMillis = filled(shares.parts(), nowMillis);
     }
   }
 
@@ -168,4 +170,10 @@
   long emptyForMillis(LimitPart part, long nowMillis) {
     return part.index() < parts() ? emptyUntilMillis[part.index()] - nowMillis : 0;
   }
+
+  private static long[] filled(int parts, long millis) {
+    long[] times = new long[parts];
+    Arrays.fill(times, millis);
+    return times;
+  }
 }
--- a/coordination/src/test/java/org/ragworttide/coordination/CoordinatedLimitTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/CoordinatedLimitTest.java
@@ -91,7 +91,8 @@
       if (clocks.containsKey(vm)) {
         clocks.get(vm).stop();
       }
-      VmClock clock = new VmClock(time, random.nextLong(2_000) - 1_000, random.nextLong(9_999));
+      VmClock clock =
+          new VmClock(time, random.nextLong(2_000) - 1_000, random.nextLong(-9_999, 9_999));
       clocks.put(vm, clock);
       Coordinator coordinator =
           new Coordinator(
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
@@ -72,7 +72,7 @@
       clocks.get(vm).stop();
     }
     long error = random.nextLong(2L * MAX_CLOCK_ERROR_MILLIONTHS) - MAX_CLOCK_ERROR_MILLIONTHS;
-    VmClock clock = new VmClock(time, error, random.nextLong(1_000_000));
+    VmClock clock = new VmClock(time, error, random.nextLong(-1_000_000, 1_000_000));
     Incarnation incarnation = new Incarnation(random.nextLong());
     Transport transport =
         network.connect(vm, clock.guard((from, message) -> take(vm, from, message)));
--- a/coordination/src/test/java/org/ragworttide/coordination/membership/MembershipTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/membership/MembershipTest.java
@@ -213,7 +213,7 @@
 
     private void start(VmId vm) {
       stop(vm);
-      VmClock clock = new VmClock(time, 0, random.nextLong(1_000));
+      VmClock clock = new VmClock(time, 0, random.nextLong(-999_999, 1_000));
       clocks.put(vm, clock);
       Incarnation run = new Incarnation(random.nextLong());
       views.put(
--- a/coordination/src/test/java/org/ragworttide/coordination/versions/SpreadFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/versions/SpreadFleet.java
@@ -145,7 +145,7 @@
     private final VmId vm;
     private final Incarnation incarnation = new Incarnation(random.nextLong());
     private final VmClock clock =
-        new VmClock(time, random.nextLong(2_000) - 1_000, random.nextLong(1_000));
+        new VmClock(time, random.nextLong(2_000) - 1_000, random.nextLong(-999_999, 1_000));
     private final Membership membership;
     private final Versions versions;
     private long inForce;
