Keep daemons from running to the engine with the lowest stale load

A stale report now counts as the mean or the daemon's own requests times the daemons, whichever is more, so the pick is spread by the chat's hash; the limit of concurrent requests is divided by the daemons while reports are stale.

--- a/bench/src/main/java/org/ragworttide/bench/routing/RoutingBench.java
+++ b/bench/src/main/java/org/ragworttide/bench/routing/RoutingBench.java
@@ -35,6 +35,7 @@
         "only",
         true,
         "fleet, overload, cold, memory, failure or decision; all when left out");
+    options.addOption(null, "scenario", true, "one scenario of the fleet; all when left out");
     options.addOption(null, "plots", true, "directory for the plots; none when left out");
     try {
       return run(new DefaultParser().parse(options, args));
@@ -56,7 +57,7 @@
         continue;
       }
       if (only.equals("all") || only.equals("fleet")) {
-        fleet(size, seeds, results, line.getOptionValue("plots"));
+        fleet(size, seeds, results, line);
       }
       if (size == Size.TODAY && (only.equals("all") || only.equals("overload"))) {
         PartBenches.overload(size.shortened(900, 0), seeds, FIRST_SEED, results);
@@ -78,9 +79,13 @@
     return results.passed() ? 0 : EXIT_BOUND;
   }
 
-  private static void fleet(Size size, int seeds, Results results, String plots)
+  private static void fleet(Size size, int seeds, Results results, CommandLine line)
       throws IOException, ExecutionException, InterruptedException {
+    String plots = line.getOptionValue("plots");
     for (Scenario scenario : Scenario.values()) {
+      if (!line.getOptionValue("scenario", scenario.name()).equals(scenario.name())) {
+        continue;
+      }
       Map<String, List<Tally>> tallies = measure(size, scenario, seeds, results);
       FleetBounds.check(size, scenario, tallies, results);
       if (plots != null && (scenario == Scenario.ZONE || scenario == Scenario.HOT_CHAT)) {
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
@@ -27,6 +27,7 @@
   private double meanOwn;
   private double scale;
   private long now;
+  private int daemons = 1;
 
   CandidateSet(List<UpstreamTracker> trackers, RouterSettings settings) {
     this.trackers = trackers.toArray(UpstreamTracker[]::new);
@@ -54,6 +55,7 @@
   /** Starts a decision: weighs the candidates and works out the mean load. */
   void begin(long key, RouteRequest request, FleetShare fleet, long nowMillis) {
     now = nowMillis;
+    daemons = fleet.daemons();
     open = 0;
     eligible = 0;
     maxShare = MIN_SHARE;
@@ -137,7 +139,7 @@
     if (threshold >= share || !hasRoom(index)) {
       return false;
     }
-    if (!tracker.isFresh(now, settings.reportStaleMillis())) {
+    if (!isFresh(tracker)) {
       double bound = settings.loadMultiple() * share * meanOwn;
       return tracker.inFlight() + 1 <= Math.floor(bound + fleet.roundingOffset(tracker.hash));
     }
@@ -156,7 +158,16 @@
 
   /** Tells whether the candidate is below its limit of concurrent requests. */
   boolean hasRoom(int index) {
-    return trackers[index].estimate(scale, now) + 1 <= trackers[index].spec().maxInFlight();
+    UpstreamTracker tracker = trackers[index];
+    int limit = tracker.spec().maxInFlight();
+    if (isFresh(tracker)) {
+      return tracker.estimate(scale, now) + 1 <= limit;
+    }
+    return tracker.inFlight() + 1 <= Math.ceilDiv(limit, daemons);
+  }
+
+  private boolean isFresh(UpstreamTracker tracker) {
+    return tracker.isFresh(now, settings.reportStaleMillis());
   }
 
   /** Returns the eligible candidates with room from the least to the most loaded. */
@@ -178,11 +189,18 @@
   }
 
   private long loadKey(int index, long key) {
-    double load = (trackers[index].estimate(scale, now) + 1) / shares[index];
+    double load = (comparableLoad(trackers[index]) + 1) / shares[index];
     long tieBreak = Rendezvous.weight(trackers[index].hash, key) & 0xffff;
     return ((long) Math.min(load, 1e8) << 32) | (tieBreak << 16) | index;
   }
 
+  /** Returns the load over all daemons; a stale report does not make an engine look idle. */
+  private double comparableLoad(UpstreamTracker tracker) {
+    return isFresh(tracker)
+        ? tracker.estimate(scale, now)
+        : Math.max(meanLoad, (double) tracker.inFlight() * daemons);
+  }
+
   /** Returns a number in [0, 1) of the chat at the upstream, independent of its order. */
   private static double chatThreshold(long key, long upstreamHash) {
     return (Rendezvous.weight(upstreamHash, key) >>> 11) * 0x1.0p-53;
--- a/coordination/src/test/java/org/ragworttide/coordination/routing/FleetRoutingTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/routing/FleetRoutingTest.java
@@ -200,6 +200,26 @@
     }
   }
 
+  @Test
+  public void manyDaemonsDoNotRunToEngineWithLowestStaleLoad() {
+    int daemons = 350;
+    RouterFixture sliver = new RouterFixture(daemons);
+    sliver.reportAll(1, 50);
+    sliver.time.advance(1_000);
+    sliver.report(3, 1, 5);
+    sliver.time.advance(2 * RouterSettings.DEFAULTS.reportStaleMillis());
+    int[] load = new int[ENGINES];
+    for (int i = 0; i < 3 * daemons; i++) {
+      Slot slot = chosen(sliver.routers.get(i % daemons).route(request("chat-" + i)));
+      load[index(slot.upstream())]++;
+    }
+    int highest = Arrays.stream(load).max().orElseThrow();
+    double mean = 3.0 * daemons / ENGINES;
+    assertTrue(
+        highest <= RouterSettings.DEFAULTS.loadMultiple() * mean,
+        highest + " at a mean of " + mean);
+  }
+
   private void checkLoads(int open, long seed) {
     int total = 0;
     int highest = 0;
