--- a/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseQueries.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseQueries.java
@@ -19,7 +19,10 @@
   /** Returns when this VM's lease expires on its own clock, or the present time without a lease. */
   long leaseExpiresAtMillis(Shard shard);
 
-  /** Returns since when this VM has owned the shard without a break, or the present time. */
+  /**
+   * Returns since when this VM has owned the shard without a gap, or the present time without a
+   * lease.
+   */
   long ownedSinceMillis(Shard shard);
 
   /**
--- a/protocol/src/main/java/org/ragworttide/protocol/PeerFrameCodec.java
+++ b/protocol/src/main/java/org/ragworttide/protocol/PeerFrameCodec.java
@@ -10,9 +10,6 @@
 import org.ragworttide.coordination.message.PeerMessage;
 import org.ragworttide.coordination.message.QuarantineMessage;
 import org.ragworttide.coordination.message.VersionMessage;
-import org.ragworttide.protocol.wire.ClaimEnvelope;
-import org.ragworttide.protocol.wire.GroupEnvelope;
-import org.ragworttide.protocol.wire.LeaseEnvelope;
 import org.ragworttide.protocol.wire.PeerFrame;
 
 /**
@@ -30,9 +27,9 @@
     PeerFrame.Builder frame = PeerFrame.newBuilder();
     switch (message) {
       case MembershipMessage topic -> frame.setMembership(MembershipCodec.encode(topic));
-      case GroupMessage topic -> frame.setGroup(GroupEnvelope.getDefaultInstance());
-      case LeaseMessage topic -> frame.setLease(LeaseEnvelope.getDefaultInstance());
-      case ClaimMessage topic -> frame.setClaim(ClaimEnvelope.getDefaultInstance());
+      case GroupMessage topic -> frame.setGroup(GroupCodec.encode(topic));
+      case LeaseMessage topic -> frame.setLease(LeaseCodec.encode(topic));
+      case ClaimMessage topic -> frame.setClaim(ClaimCodec.encode(topic));
       case LimitMessage topic -> frame.setLimit(LimitCodec.encode(topic));
       case VersionMessage topic -> frame.setVersion(VersionCodec.encode(topic));
       case QuarantineMessage topic -> frame.setQuarantine(QuarantineCodec.encode(topic));
@@ -50,7 +47,10 @@
           case VERSION -> VersionCodec.decode(frame.getVersion());
           case QUARANTINE -> QuarantineCodec.decode(frame.getQuarantine());
           case ADMISSION -> AdmissionCodec.decode(frame.getAdmission());
-          case GROUP, LEASE, CLAIM, HELLO, TOPIC_NOT_SET -> Optional.empty();
+          case GROUP -> GroupCodec.decode(frame.getGroup());
+          case LEASE -> LeaseCodec.decode(frame.getLease());
+          case CLAIM -> ClaimCodec.decode(frame.getClaim());
+          case HELLO, TOPIC_NOT_SET -> Optional.empty();
         };
     return message.map(PeerMessage.class::cast);
   }
