--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/PlatformFacts.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/PlatformFacts.java
@@ -95,7 +95,7 @@
         current == null || Policies.constants(current).equals(Policies.constants(document));
     if (!sameConstants) {
       String message =
-          "only a fleet of another name can have other values of maxEntryVms, loadMultiple and claimRetentionSeconds";
+          "maxEntryVms, loadMultiple and claimRetentionSeconds change only with the name";
       refuse(version, List.of(new Fault("/fleet", message)));
       return false;
     }
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/WaitingLine.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/WaitingLine.java
@@ -64,14 +64,14 @@
 
   /** Offers what waits to the taker, in fair order, until one can't be taken. */
   void dispatch(Predicate<T> taker) {
-    queues.values().forEach(queue -> dispatch(queue, taker));
+    queues.values().forEach(queue -> drain(queue, taker));
   }
 
   int size() {
     return queues.values().stream().mapToInt(FairQueue::size).sum();
   }
 
-  private void dispatch(FairQueue<T> queue, Predicate<T> taker) {
+  private void drain(FairQueue<T> queue, Predicate<T> taker) {
     if (queue.size() > 0) {
       queue.expire();
       queue.dispatch(entry -> taker.test(entry.attachment()));
