Halve the lease to three seconds

Cause: a fleet that starts whole, or loses an owner, waits for leases before cold engines take work.

--- a/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseSettings.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseSettings.java
@@ -17,7 +17,7 @@
  */
 public record LeaseSettings(GroupSize size, long leaseMillis, long tickMillis) {
   /** Leases for production. */
-  public static final LeaseSettings DEFAULT = new LeaseSettings(GroupSize.FIVE, 6_000, 500);
+  public static final LeaseSettings DEFAULT = new LeaseSettings(GroupSize.FIVE, 3_000, 300);
 
   /** Checks that a lease outlasts several ticks. */
   public LeaseSettings {
