--- a/coordination/src/test/java/org/ragworttide/coordination/CoordinatedLimitTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/CoordinatedLimitTest.java
@@ -91,7 +91,8 @@
       if (clocks.containsKey(vm)) {
         clocks.get(vm).stop();
       }
-      VmClock clock = new VmClock(time, random.nextLong(2_000) - 1_000, random.nextLong(9_999));
+      VmClock clock =
+          new VmClock(time, random.nextLong(2_000) - 1_000, random.nextLong(-9_999, 9_999));
       clocks.put(vm, clock);
       Coordinator coordinator =
           new Coordinator(
@@ -103,7 +104,7 @@
               new NoVersions(),
               RouterSettings.DEFAULTS);
       coordinators.put(vm, coordinator);
-      coordinator.configure(new FleetConstants(VMS, 60_000));
+      coordinator.configure(new FleetConstants(VMS, 60_000, 1.5));
       coordinator.offer(list);
       coordinator.apply(new FleetPolicy(Map.of(HOTEL, LIMIT), Map.of(), List.of(), Map.of()));
     }
