Allow for the granularity of clock readings, and end a script's hold on restart

A full bucket now refills from the next millisecond, and the stretch of permits is two milliseconds longer.

--- a/coordination/src/main/java/org/ragworttide/coordination/limits/ClockRate.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/ClockRate.java
@@ -9,6 +9,7 @@
 final class ClockRate {
   static final long MAX_ERROR_PARTS_PER_MILLION = 1_000;
   private static final long MILLION = 1_000_000;
+  private static final long GRANULARITY_MILLIS = 2;
   private static final long MAX_DURATION_MILLIS = 86_400_000;
 
   private ClockRate() {}
@@ -23,7 +24,7 @@
   static long stretched(long millis) {
     long slow = MILLION - MAX_ERROR_PARTS_PER_MILLION;
     long fast = MILLION + MAX_ERROR_PARTS_PER_MILLION;
-    return (millis * fast + slow - 1) / slow + 1;
+    return (millis * fast + slow - 1) / slow + GRANULARITY_MILLIS;
   }
 
   /** Returns a duration of at most a day that is over on a slow clock elsewhere in time. */
@@ -31,6 +32,6 @@
     long slow = MILLION - MAX_ERROR_PARTS_PER_MILLION;
     long fast = MILLION + MAX_ERROR_PARTS_PER_MILLION;
     long bounded = Math.min(millis, MAX_DURATION_MILLIS);
-    return Math.max(0, (bounded - 1) * slow / fast - 1);
+    return Math.max(0, (bounded - GRANULARITY_MILLIS) * slow / fast - 1);
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/TokenBucket.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/TokenBucket.java
@@ -8,6 +8,9 @@
  * several threads.
  */
 final class TokenBucket {
+  /** A reading of the clock may be this much older than the moment it is used for. */
+  private static final long GRANULARITY_MILLIS = 1;
+
   private RateLimit limit;
   private long rateNanosPerMilli;
   private long levelNanos;
@@ -16,7 +19,7 @@
 
   /** Creates an empty bucket that refills from the given time. */
   TokenBucket(RateLimit limit, long sinceMillis) {
-    this.settledMillis = sinceMillis;
+    this.settledMillis = sinceMillis + GRANULARITY_MILLIS;
     use(limit);
   }
 
@@ -33,14 +36,14 @@
     if (elapsed <= 0) {
       return;
     }
-    settledMillis = nowMillis;
     long missing = roomNanos() - levelNanos;
-    if (missing <= 0 || rateNanosPerMilli == 0) {
-      return;
+    if (missing <= 0 || elapsed > missing / Math.max(1, rateNanosPerMilli)) {
+      levelNanos += Math.max(0, rateNanosPerMilli == 0 ? 0 : missing);
+      settledMillis = nowMillis + GRANULARITY_MILLIS;
+    } else {
+      levelNanos += elapsed * rateNanosPerMilli;
+      settledMillis = nowMillis;
     }
-    long untilFullMillis = missing / rateNanosPerMilli + 1;
-    levelNanos +=
-        elapsed >= untilFullMillis ? missing : Math.min(missing, elapsed * rateNanosPerMilli);
   }
 
   /** Takes up to the given number of whole tokens and returns how many were taken. */
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/ScriptedOwners.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/ScriptedOwners.java
@@ -41,8 +41,9 @@
     all.add(new Hold(vm, fromMillis, toMillis));
   }
 
-  /** Returns the view of one VM. */
+  /** Returns the view of one run of a VM's process, which has lost what an earlier run held. */
   public OwnerView view(VmId vm, VmClock clock) {
+    long startMillis = time.nowMillis();
     return new OwnerView() {
       @Override
       public Optional<VmId> ownerOf(String resource) {
@@ -52,7 +53,7 @@
       @Override
       public Optional<Ownership> ownership(String resource) {
         return last(resource, time.nowMillis())
-            .filter(hold -> hold.vm.equals(vm))
+            .filter(hold -> hold.vm.equals(vm) && hold.fromMillis >= startMillis)
             .map(hold -> local(hold, clock));
       }
     };
