Ask less often after empty answers, and let measured rates hold

After an empty answer a daemon now asks the same owner again only after one second, doubling to eight; it sends ten questions a second instead of twenty.

--- a/bench/src/main/java/org/ragworttide/bench/routing/ColdBench.java
+++ b/bench/src/main/java/org/ragworttide/bench/routing/ColdBench.java
@@ -99,7 +99,7 @@
     }
     time.every(RETRY_MILLIS, this::retry);
     time.every(1_000, this::closeSecond);
-    arrive();
+    new Arrivals(time, random, size.requestsPerSecond(), this::arrive).start();
     time.advance(size.seconds() * 1_000L);
     return this;
   }
@@ -116,16 +116,11 @@
   }
 
   private void arrive() {
-    time.after(
-        (long) Trace.exponential(random, 1_000 / size.requestsPerSecond()),
-        () -> {
-          int daemon = random.nextInt(size.daemons());
-          Waiting request = new Waiting(random.nextInt(1_000_000), time.nowMillis());
-          if (!start(daemon, request)) {
-            waiting.get(daemon).add(request);
-          }
-          arrive();
-        });
+    int daemon = random.nextInt(size.daemons());
+    Waiting request = new Waiting(random.nextInt(1_000_000), time.nowMillis());
+    if (!start(daemon, request)) {
+      waiting.get(daemon).add(request);
+    }
   }
 
   private void retry() {
--- a/bench/src/main/java/org/ragworttide/bench/routing/FailureBench.java
+++ b/bench/src/main/java/org/ragworttide/bench/routing/FailureBench.java
@@ -61,7 +61,7 @@
       int index = engine;
       time.every(1_000, () -> routers.report(index, 1, time.nowMillis(), load[index]));
     }
-    arrive();
+    new Arrivals(time, random, size.requestsPerSecond(), this::arrive).start();
     time.advance(size.seconds() * 1_000L);
     return this;
   }
@@ -71,15 +71,10 @@
   }
 
   private void arrive() {
-    time.after(
-        (long) Trace.exponential(random, 1_000 / size.requestsPerSecond()),
-        () -> {
-          int daemon = random.nextInt(size.daemons());
-          requests++;
-          budgets.get(daemon).attempted();
-          attempt(daemon, "chat-" + random.nextInt(1_000_000), new HashSet<>());
-          arrive();
-        });
+    int daemon = random.nextInt(size.daemons());
+    requests++;
+    budgets.get(daemon).attempted();
+    attempt(daemon, "chat-" + random.nextInt(1_000_000), new HashSet<>());
   }
 
   private void attempt(int daemon, String chat, Set<UpstreamId> tried) {
--- a/bench/src/main/java/org/ragworttide/bench/routing/OverloadBench.java
+++ b/bench/src/main/java/org/ragworttide/bench/routing/OverloadBench.java
@@ -91,15 +91,8 @@
   }
 
   private void arrive(int organisation) {
-    double perSecond = rate(organisation);
     double factor = surge && organisation < SURGING ? SURGE_FACTOR : 1;
-    long next = (long) Trace.exponential(random, 1_000 / (perSecond * factor));
-    time.after(
-        next,
-        () -> {
-          offer(organisation);
-          arrive(organisation);
-        });
+    new Arrivals(time, random, rate(organisation) * factor, () -> offer(organisation)).start();
   }
 
   private double rate(int organisation) {
--- a/coordination/src/main/java/org/ragworttide/coordination/admission/AdmissionSettings.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/AdmissionSettings.java
@@ -26,7 +26,7 @@
 
   /** The settings for answers that take up to two minutes. */
   public static final AdmissionSettings DEFAULTS =
-      new AdmissionSettings(3_000, 120_000, 500, 20, 3, 10_000, 2, 0.01);
+      new AdmissionSettings(3_000, 120_000, 500, 10, 3, 10_000, 2, 0.01);
 
   /** Checks that all values are positive. */
   public AdmissionSettings {
--- a/coordination/src/main/java/org/ragworttide/coordination/admission/PermitPool.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/PermitPool.java
@@ -14,11 +14,13 @@
  */
 final class PermitPool {
   private static final long NO_QUESTION = 0;
+  private static final int MAX_EMPTY_GRANTS = 4;
   private static final long REFUSAL_COUNTS_MILLIS = 1_000;
 
   private final Deque<Long> unused = new ArrayDeque<>();
   private final Deque<Long> running = new ArrayDeque<>();
   private long expiresAtMillis;
+  private int emptyGrants;
   private long question = NO_QUESTION;
   private long abandonedFrom = NO_QUESTION;
   private long askedAtMillis;
@@ -72,9 +74,12 @@
     return List.of(running.poll());
   }
 
-  /** Tells whether a question may be sent now. */
+  /** Tells whether a question may be sent now; after empty grants it may be sent ever later. */
   boolean mayAsk(long nowMillis, long timeoutMillis) {
-    return question == NO_QUESTION || nowMillis - askedAtMillis >= timeoutMillis;
+    if (question == NO_QUESTION) {
+      return nowMillis - askedAtMillis >= (emptyGrants == 0 ? 0 : timeoutMillis << emptyGrants);
+    }
+    return nowMillis - askedAtMillis >= timeoutMillis;
   }
 
   /** Opens a question and returns the first one since the last answer. */
@@ -115,6 +120,7 @@
   List<Long> grant(Grant grant, double clockRateTolerance) {
     final List<Long> older = List.copyOf(unused);
     unused.clear();
+    emptyGrants = grant.permits() > 0 ? 0 : Math.min(MAX_EMPTY_GRANTS, emptyGrants + 1);
     expiresAtMillis = askedAtMillis + (long) (grant.validMillis() * (1 - clockRateTolerance));
     for (int i = 0; i < grant.permits(); i++) {
       unused.add(grant.firstPermit() + i);
