--- a/daemon/src/test/java/org/ragworttide/daemon/BadInputTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/BadInputTest.java
@@ -1,5 +1,6 @@
 package org.ragworttide.daemon;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -59,7 +60,7 @@
       {"{\"model\":\"m\",\"messages\":[],\"stream\":\"yes\"}".getBytes()},
       {"{\"model\":\"m\",\"model\":\"n\",\"messages\":[]}".getBytes()},
       {"{\"model\":\"m\",\"messages\":[]} {}".getBytes()},
-      {new byte[] {'{', '"', (byte) 0xff, '"', ':', '1', '}'}},
+      {"{\"model\":\"m\",\"messages\":[],\"x\":\"ÿ\"}".getBytes(ISO_8859_1)},
       {("{\"model\":\"m\",\"messages\":" + "[".repeat(100_000)).getBytes()},
     };
   }
@@ -76,6 +77,15 @@
     }
   }
 
+  @Test
+  public void chatByAnotherMethodIsRefused() throws IOException {
+    try (PathFixture path = PathFixture.start(ANSWER)) {
+      HttpResponse<String> response = path.send(path.request(PathFixture.CHAT));
+      assertEquals(response.statusCode(), 405);
+      assertEquals(response.headers().firstValue("Allow").orElse(""), "POST");
+    }
+  }
+
   @Test
   public void unknownModelIsRefused() throws IOException {
     try (PathFixture path = PathFixture.start(ANSWER)) {
@@ -139,6 +149,6 @@
     CallerSettings caller =
         new CallerSettings("127.0.0.1", 0, 8 << 10, 16 << 10, maxBytes, timeoutMillis, 60_000, 0);
     DaemonHttp.Settings defaults = PathFixture.defaults();
-    return new DaemonHttp.Settings(caller, defaults.relay(), defaults.upstream());
+    return new DaemonHttp.Settings(caller, defaults.relay(), defaults.upstream(), defaults.tls());
   }
 }
--- a/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
@@ -28,7 +28,7 @@
   private static final long LONG_ENOUGH_SECONDS = 10;
   private static final PeerMessage MESSAGE = new MembershipMessage.ListRequest(7, 0, 0);
 
-  private final MetricRegistry metrics = new MetricRegistry();
+  private MetricRegistry metrics;
   private BlockingQueue<PeerMessage> received;
   private PeerNetwork receiver;
   private int port;
@@ -37,12 +37,14 @@
   @BeforeMethod
   public void listen() {
     received = new LinkedBlockingQueue<>();
+    metrics = new MetricRegistry();
     receiver =
         new PeerNetwork(
             identity("fleet", "vm-1"),
             (from, run, message) -> received.add(message),
             vm -> Optional.empty(),
-            metrics);
+            metrics,
+            Optional.empty());
     receiver.bind(HOST, 0).block();
     port = receiver.port();
   }
@@ -167,7 +169,8 @@
         identity(fleet, "vm-2"),
         (from, run, message) -> {},
         vm -> Optional.of(HOST + ":" + port),
-        new MetricRegistry());
+        new MetricRegistry(),
+        Optional.empty());
   }
 
   private static PeerIdentity identity(String fleet, String vm) {
--- a/fakes/src/main/java/org/ragworttide/fakes/demo/DemoMain.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/demo/DemoMain.java
@@ -72,7 +72,7 @@
 
   private static boolean awaitReady(DaemonProcess daemon, DemoCaller caller) {
     for (long waited = 0; waited < START_MILLIS && daemon.alive(); waited += POLL_MILLIS) {
-      if (caller.get(daemon.spot().callersUrl() + "/opening-hours").status() == 200) {
+      if (caller.get(daemon.spot().operatorsUrl() + "/ready").status() == 200) {
         return true;
       }
       DemoCaller.pause(POLL_MILLIS);
@@ -85,10 +85,13 @@
     checks.addAll(new ChangeChecks(fleet, caller).all());
     int failed = 0;
     for (Check check : checks) {
+      long start = System.nanoTime();
       Check.Result result = check.run();
+      double seconds = (System.nanoTime() - start) / 1e9;
       failed += result.passed() ? 0 : 1;
       System.out.printf(
-          "%s  %s (%s)%n", result.passed() ? "ok  " : "FAIL", check.name(), result.seen());
+          "%s %5.1f s  %s (%s)%n",
+          result.passed() ? "ok  " : "FAIL", seconds, check.name(), result.seen());
     }
     System.out.printf(
         "{\"checks\":%d,\"failed\":%d,\"bookings_sent\":%d,\"bookings_run\":%d,"
