--- /dev/null
+++ b/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
@@ -0,0 +1,166 @@
+package org.ragworttide.daemon.process;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.ragworttide.fakes.FakeSet;
+
+/** Three daemons as processes of their own before the stand-ins; used by one thread. */
+final class DaemonProcesses implements AutoCloseable {
+  static final String KEY = "test-key";
+  private static final String SETTINGS =
+      """
+      {
+        "vm": "vm-%1$d", "zone": "zone-%1$d", "fleet": "test",
+        "callers": { "host": "127.0.0.1", "port": %2$d, "plain": true },
+        "operators": { "host": "127.0.0.1", "port": %3$d },
+        "peers": { "host": "127.0.0.1", "port": %4$d, "plain": true },
+        "platform": { "host": "127.0.0.1", "port": %5$d },
+        "upstream": { "plain": true }
+      }
+      """;
+
+  private final HttpClient http =
+      HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
+  private final Path folder = Files.createTempDirectory("ragworttide-test");
+  private final FakeSet fakes =
+      FakeSet.start(new FakeSet.Ports(0, List.of(0, 0, 0), 0), Set.of(KEY));
+  private final List<int[]> ports = new ArrayList<>();
+  private final List<Process> processes = new ArrayList<>();
+
+  DaemonProcesses(String configuration) throws IOException {
+    for (int i = 0; i < 3; i++) {
+      ports.add(new int[] {freePort(), freePort(), freePort()});
+    }
+    publish(1, configuration);
+    fakes.platform().publishVms(TestDocuments.vms(ports.stream().map(p -> p[2]).toList()));
+    for (int i = 0; i < 3; i++) {
+      processes.add(start(i));
+    }
+  }
+
+  FakeSet fakes() {
+    return fakes;
+  }
+
+  void publish(long version, String configuration) {
+    fakes
+        .platform()
+        .publish("configuration", version, configuration.getBytes(StandardCharsets.UTF_8));
+  }
+
+  void restart(int daemon) throws IOException {
+    processes.set(daemon, start(daemon));
+  }
+
+  void kill(int daemon) throws InterruptedException {
+    processes.get(daemon).destroyForcibly().waitFor();
+  }
+
+  void freeze(int daemon) throws IOException, InterruptedException {
+    signal(daemon, "-STOP");
+  }
+
+  void resume(int daemon) throws IOException, InterruptedException {
+    signal(daemon, "-CONT");
+  }
+
+  CompletableFuture<Answer> book(int daemon, String idempotencyKey) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + ports.get(daemon)[0] + "/bookings"))
+            .timeout(Duration.ofSeconds(4))
+            .header("Authorization", "Bearer " + KEY)
+            .header("Idempotency-Key", idempotencyKey)
+            .POST(HttpRequest.BodyPublishers.ofString("{\"van\":1}"))
+            .build();
+    return send(request);
+  }
+
+  CompletableFuture<Answer> get(int daemon, String path) {
+    return send(
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + ports.get(daemon)[0] + path))
+            .timeout(Duration.ofSeconds(2))
+            .header("Authorization", "Bearer " + KEY)
+            .build());
+  }
+
+  String status(int daemon) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + ports.get(daemon)[1] + "/status"))
+            .timeout(Duration.ofSeconds(2))
+            .build();
+    return send(request).join().body();
+  }
+
+  private CompletableFuture<Answer> send(HttpRequest request) {
+    return http.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+        .thenApply(response -> new Answer(response.statusCode(), response.body()))
+        .exceptionally(e -> new Answer(0, String.valueOf(e)));
+  }
+
+  private Process start(int daemon) throws IOException {
+    int[] own = ports.get(daemon);
+    Path settings = folder.resolve("vm-" + daemon + ".json");
+    Files.writeString(
+        settings,
+        SETTINGS.formatted(daemon, own[0], own[1], own[2], fakes.platform().port()));
+    return new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-Xmx256m",
+            "-cp",
+            System.getProperty("java.class.path"),
+            "org.ragworttide.daemon.Main",
+            "--settings",
+            settings.toString())
+        .redirectErrorStream(true)
+        .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()))
+        .start();
+  }
+
+  private void signal(int daemon, String signal) throws IOException, InterruptedException {
+    String pid = Long.toString(processes.get(daemon).pid());
+    new ProcessBuilder("kill", signal, pid).start().waitFor(5, TimeUnit.SECONDS);
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return socket.getLocalPort();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    processes.forEach(Process::destroyForcibly);
+    fakes.close();
+    try (Stream<Path> files = Files.walk(folder)) {
+      files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+    }
+  }
+
+  /**
+   * What a caller got.
+   *
+   * @param status the HTTP status, 0 for none
+   * @param body the body, or why there is none
+   */
+  record Answer(int status, String body) {
+
+    boolean saysNotRun() {
+      return body.contains("\"outcome\":\"not-run\"");
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/ragworttide/daemon/process/ProcessFailureTest.java
@@ -0,0 +1,158 @@
+package org.ragworttide.daemon.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.ragworttide.daemon.process.DaemonProcesses.Answer;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Kills, freezes and cuts off real daemon processes and checks what must hold. */
+public class ProcessFailureTest {
+  private static final long LONG_ENOUGH_MILLIS = 60_000;
+
+  private DaemonProcesses fleet;
+
+  /** Starts the stand-ins and three daemons, and waits until they run bookings. */
+  @BeforeMethod
+  public void start() throws Exception {
+    fleet = new DaemonProcesses("{}");
+    fleet.publish(2, configuration(2, false));
+    int[] tries = {0};
+    await(() -> fleet.book(tries[0] % 3, "start-" + tries[0]++).join().status() == 201);
+  }
+
+  /** Stops what was started. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() throws IOException {
+    fleet.close();
+  }
+
+  @Test
+  public void bookingRunsOnceWhileDaemonsAreFrozenAndKilled() throws Exception {
+    int served = 0;
+    for (int round = 0; round < 9; round++) {
+      String key = "booking-" + round;
+      List<CompletableFuture<Answer>> answers = bookEverywhere(key);
+      disturb(round);
+      answers.addAll(bookEverywhere(key));
+      for (CompletableFuture<Answer> answer : answers) {
+        served += answer.join().status() == 201 ? 1 : 0;
+      }
+      repair(round);
+      int runs = fleet.fakes().bookings().runs(key);
+      assertTrue(runs <= 1, key + " ran " + runs + " times");
+      checkTruth(key, runs, answers);
+    }
+    assertTrue(served > 0, "no booking was served");
+  }
+
+  @Test
+  public void bookingRunsOnceAcrossTheRestartOfAllDaemons() throws Exception {
+    assertEquals(fleet.book(0, "kept").join().status(), 201);
+    for (int daemon = 0; daemon < 3; daemon++) {
+      fleet.kill(daemon);
+    }
+    for (int daemon = 0; daemon < 3; daemon++) {
+      fleet.restart(daemon);
+    }
+    await(() -> fleet.book(0, "kept").join().status() != 0);
+    for (int i = 0; i < 5; i++) {
+      fleet.book(i % 3, "kept").join();
+    }
+    assertEquals(fleet.fakes().bookings().runs("kept"), 1);
+  }
+
+  @Test
+  public void withdrawnKeyStopsWorkingEverywhereWithThePlatformDownAfterwards() {
+    fleet.publish(3, configuration(3, true));
+    await(() -> fleet.status(0).contains("\"configurationVersion\":3"));
+    fleet.fakes().platform().down(true);
+    for (int daemon = 0; daemon < 3; daemon++) {
+      int asked = daemon;
+      await(() -> fleet.get(asked, "/opening-hours").join().status() == 401);
+    }
+  }
+
+  @Test
+  public void daemonThatStartsBesideStaleReadersTakesTheNewerVersionFromPeers() throws Exception {
+    fleet.publish(3, configuration(3, true));
+    for (int daemon = 0; daemon < 3; daemon++) {
+      int asked = daemon;
+      await(() -> fleet.status(asked).contains("\"configurationVersion\":3"));
+    }
+    fleet.fakes().platform().serveStale("configuration", 2);
+    fleet.kill(2);
+    fleet.restart(2);
+    await(() -> fleet.status(2).contains("\"ready\":true"));
+    assertTrue(fleet.status(2).contains("\"configurationVersion\":3"), fleet.status(2));
+    assertEquals(fleet.get(2, "/opening-hours").join().status(), 401);
+  }
+
+  private List<CompletableFuture<Answer>> bookEverywhere(String key) {
+    List<CompletableFuture<Answer>> answers = new ArrayList<>();
+    for (int daemon = 0; daemon < 3; daemon++) {
+      answers.add(fleet.book(daemon, key));
+    }
+    return answers;
+  }
+
+  private void disturb(int round) throws Exception {
+    switch (round % 3) {
+      case 0 -> fleet.freeze(round % 2);
+      case 1 -> fleet.kill(2);
+      default -> {
+        // One round in three passes undisturbed.
+      }
+    }
+  }
+
+  private void repair(int round) throws Exception {
+    switch (round % 3) {
+      case 0 -> fleet.resume(round % 2);
+      case 1 -> fleet.restart(2);
+      default -> {
+        // Nothing was disturbed.
+      }
+    }
+  }
+
+  private static void checkTruth(
+      String key, int runs, List<CompletableFuture<Answer>> answers) {
+    for (CompletableFuture<Answer> answer : answers) {
+      if (answer.join().status() == 201) {
+        assertEquals(runs, 1, key + " was answered without a run");
+      }
+      if (answer.join().saysNotRun()) {
+        assertEquals(runs, 0, key + " ran and a caller was told that it did not");
+      }
+    }
+  }
+
+  private String configuration(long version, boolean keyWithdrawn) {
+    return TestDocuments.configuration(
+        version, fleet.fakes().bookings().port(), keyWithdrawn);
+  }
+
+  private static void await(BooleanSupplier condition) {
+    long endNanos = System.nanoTime() + LONG_ENOUGH_MILLIS * 1_000_000;
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < endNanos, "the condition never held");
+      pause();
+    }
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(100);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
