--- a/coordination/src/main/java/org/ragworttide/coordination/admission/ColdAdmission.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/ColdAdmission.java
@@ -92,7 +92,15 @@
     fanOut.members(vms);
   }
 
-  /** Takes an accepted load report over. */
+  /**
+   * Takes an accepted load report over.
+   *
+   * @param upstream the upstream
+   * @param incarnation the run of its process
+   * @param measuredAtMillis the earliest time at which the load can have been measured, since a new
+   *     owner trusts only what was measured after it took over
+   * @param load requests that ran or waited
+   */
   public void report(UpstreamId upstream, long incarnation, long measuredAtMillis, long load) {
     PermitPool pool = pools.get(upstream);
     if (pool != null) {
--- a/coordination/src/test/java/org/ragworttide/coordination/admission/AdmissionPartsTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/admission/AdmissionPartsTest.java
@@ -70,6 +70,24 @@
     assertEquals(pool.grant(new Grant(ENGINE, 77, 2, 9, 1, 100), 0.01), List.of(5L));
   }
 
+  @Test
+  public void emptyAnswersMakeQuestionsRarer() {
+    PermitPool pool = new PermitPool();
+    long now = 10_000;
+    for (long pause : new long[] {1_000, 2_000, 4_000, 8_000, 8_000}) {
+      pool.asked(now, now);
+      pool.grant(new Grant(ENGINE, 77, now, 5, 0, 100), 0.01);
+      pool.closeQuestion(now);
+      assertFalse(pool.mayAsk(now + pause - 1, 500), "pause " + pause);
+      assertTrue(pool.mayAsk(now + pause, 500), "pause " + pause);
+      now += pause;
+    }
+    pool.asked(now, now);
+    pool.grant(new Grant(ENGINE, 77, now, 5, 1, 100), 0.01);
+    pool.closeQuestion(now);
+    assertTrue(pool.mayAsk(now, 500));
+  }
+
   @Test
   public void ownerThatSleptThroughItsLeaseBeginsAgain() {
     ManualTimerService time = new ManualTimerService();
