--- a/daemon/src/main/java/org/ragworttide/daemon/peer/PeerLinks.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/peer/PeerLinks.java
@@ -8,17 +8,20 @@
 import org.ragworttide.coordination.message.PeerMessage;
 import org.ragworttide.coordination.message.Transport;
 import org.ragworttide.protocol.PeerFrameCodec;
+import org.ragworttide.protocol.wire.PeerFrame;
 import reactor.netty.tcp.TcpClient;
 
 /**
  * Sends messages to peers by the addresses of the VM list.
  *
- * <p>Invariant: one link for each address in use. Confined to the coordination thread.
+ * <p>Invariants: one link for each address in use; nothing beyond the budget is sent. Confined to
+ * the coordination thread.
  */
 public final class PeerLinks implements Transport {
   private final TcpClient client;
   private final PeerIdentity self;
   private final PeerTraffic traffic;
+  private final SendBudget budget;
   private final Function<VmId, Optional<String>> addresses;
   private final Map<VmId, AddressedLink> links = new HashMap<>();
 
@@ -26,27 +29,31 @@
    * Creates links that open on demand.
    *
    * @param client how to connect, with TLS where settings ask for it
+   * @param budget bounds the bytes a second; what exceeds it is dropped
    * @param addresses tells a VM's peer address as host and port
    */
   public PeerLinks(
       TcpClient client,
       PeerIdentity self,
       PeerTraffic traffic,
+      SendBudget budget,
       Function<VmId, Optional<String>> addresses) {
     this.client = client;
     this.self = self;
     this.traffic = traffic;
+    this.budget = budget;
     this.addresses = addresses;
   }
 
   @Override
   public void send(VmId to, PeerMessage message) {
     Optional<String> address = addresses.apply(to);
-    if (address.isEmpty()) {
+    PeerFrame frame = PeerFrameCodec.encode(message);
+    if (address.isEmpty() || !budget.tryPass(message, PeerFrames.sizeBytes(frame))) {
       traffic.droppedFrames.inc();
       return;
     }
-    link(to, address.get()).offer(PeerFrameCodec.encode(message));
+    link(to, address.get()).offer(frame);
   }
 
   /** Closes all links once their waiting frames are written. */
--- a/daemon/src/main/java/org/ragworttide/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/peer/PeerNetwork.java
@@ -29,6 +29,7 @@
    * @param self who this daemon is
    * @param inbox where messages of peers go
    * @param addresses tells a VM's peer address as host and port
+   * @param budget bounds the bytes a second that are sent
    * @param metrics where traffic is counted
    * @param tls how peers prove who they are, empty for plain connections
    */
@@ -36,13 +37,14 @@
       PeerIdentity self,
       PeerInbox inbox,
       Function<VmId, Optional<String>> addresses,
+      SendBudget budget,
       MetricRegistry metrics,
       Optional<PeerTls> tls) {
     PeerTraffic traffic = new PeerTraffic(metrics);
     TcpClient plain = TcpClient.newConnection();
     TcpClient client = tls.map(it -> it.secure(plain)).orElse(plain);
     this.listening = tls.map(it -> it.secure(TcpServer.create())).orElseGet(TcpServer::create);
-    this.links = new PeerLinks(client, self, traffic, addresses);
+    this.links = new PeerLinks(client, self, traffic, budget, addresses);
     this.server = new PeerServer(self, inbox, traffic);
   }
 
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/peer/SendBudget.java
@@ -0,0 +1,58 @@
+package org.ragworttide.daemon.peer;
+
+import org.ragworttide.coordination.control.ByteBudget;
+import org.ragworttide.coordination.control.ByteBudget.Priority;
+import org.ragworttide.coordination.message.AdmissionMessage;
+import org.ragworttide.coordination.message.ClaimMessage;
+import org.ragworttide.coordination.message.GroupMessage;
+import org.ragworttide.coordination.message.LeaseMessage;
+import org.ragworttide.coordination.message.LimitMessage;
+import org.ragworttide.coordination.message.MembershipMessage;
+import org.ragworttide.coordination.message.PeerMessage;
+import org.ragworttide.coordination.message.QuarantineMessage;
+import org.ragworttide.coordination.message.VersionMessage;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * Bounds what a daemon sends to peers, by the importance of each topic.
+ *
+ * <p>Invariant: over any stretch of time, no more passes than the rate times the time and the
+ * burst. Confined to the coordination thread.
+ */
+public final class SendBudget {
+  private static final int BURST_SECONDS = 60;
+
+  private final TimerService time;
+  private final ByteBudget budget;
+
+  /**
+   * Creates a full budget.
+   *
+   * @param time the timer service
+   * @param bytesPerSecond the rate, positive
+   */
+  public SendBudget(TimerService time, int bytesPerSecond) {
+    this.time = time;
+    this.budget = new ByteBudget(bytesPerSecond, bytesPerSecond * BURST_SECONDS, time.nowMillis());
+  }
+
+  /** Takes the bytes of a message from the budget; false if it must be dropped. */
+  boolean tryPass(PeerMessage message, int bytes) {
+    return budget.tryPass(priority(message), bytes, time.nowMillis());
+  }
+
+  private static Priority priority(PeerMessage message) {
+    return switch (message) {
+      case LeaseMessage topic -> Priority.SAFETY;
+      case ClaimMessage topic -> Priority.SAFETY;
+      case GroupMessage topic -> Priority.SAFETY;
+      case QuarantineMessage topic -> Priority.SAFETY;
+      case LimitMessage topic -> Priority.SERVICE;
+      case AdmissionMessage topic -> Priority.SERVICE;
+      case MembershipMessage topic -> Priority.BACKGROUND;
+      // Whole documents come in many chunks, which must not displace the news of a version.
+      case VersionMessage.Chunk chunk -> Priority.BACKGROUND;
+      case VersionMessage topic -> Priority.SAFETY;
+    };
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
@@ -21,6 +21,7 @@
 import org.ragworttide.daemon.operator.OperatorServer;
 import org.ragworttide.daemon.peer.PeerIdentity;
 import org.ragworttide.daemon.peer.PeerNetwork;
+import org.ragworttide.daemon.peer.SendBudget;
 import org.ragworttide.daemon.platform.PlatformClient;
 import org.ragworttide.daemon.platform.PlatformFeed;
 import org.ragworttide.daemon.relay.RelayPorts;
@@ -57,7 +58,8 @@
   private Daemon(DaemonSettings settings, Optional<PeerTls> tls) {
     this.settings = settings;
     PeerIdentity self = new PeerIdentity(settings.fleet(), settings.vm(), incarnation);
-    this.peers = new PeerNetwork(self, this::receive, this::address, metrics, tls);
+    SendBudget budget = new SendBudget(loop, settings.control().budgetBytesPerSecond());
+    this.peers = new PeerNetwork(self, this::receive, this::address, budget, metrics, tls);
     this.facts = new PlatformFacts(loop, configuration, audit);
     this.coordinator =
         new Coordinator(settings.vm(), incarnation, loop, peers, facts, RouterSettings.DEFAULTS);
--- a/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
@@ -16,6 +16,7 @@
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.message.MembershipMessage;
 import org.ragworttide.coordination.message.PeerMessage;
+import org.ragworttide.coordination.time.ManualTimerService;
 import org.ragworttide.protocol.PeerFrameCodec;
 import org.ragworttide.protocol.wire.PeerFrame;
 import org.testng.annotations.AfterMethod;
@@ -43,6 +44,7 @@
             identity("fleet", "vm-1"),
             (from, run, message) -> received.add(message),
             vm -> Optional.empty(),
+            new SendBudget(new ManualTimerService(), 100_000),
             metrics,
             Optional.empty());
     receiver.bind(HOST, 0).block();
@@ -63,6 +65,16 @@
     sender.close();
   }
 
+  @Test
+  public void messageBeyondTheBudgetIsDropped() {
+    SendBudget budget = new SendBudget(new ManualTimerService(), 1);
+    int passed = 0;
+    for (int i = 0; i < 100; i++) {
+      passed += budget.tryPass(MESSAGE, 10) ? 1 : 0;
+    }
+    assertEquals(passed, 3);
+  }
+
   @Test
   public void messageAfterThePeerHasRestartedReachesIt() throws InterruptedException {
     PeerNetwork sender = sender("fleet");
@@ -169,6 +181,7 @@
         identity(fleet, "vm-2"),
         (from, run, message) -> {},
         vm -> Optional.of(HOST + ":" + port),
+        new SendBudget(new ManualTimerService(), 100_000),
         new MetricRegistry(),
         Optional.empty());
   }
--- a/daemon/src/test/java/org/ragworttide/daemon/peer/PeerTlsTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/peer/PeerTlsTest.java
@@ -14,6 +14,7 @@
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.message.MembershipMessage;
 import org.ragworttide.coordination.message.PeerMessage;
+import org.ragworttide.coordination.time.ManualTimerService;
 import org.ragworttide.daemon.tls.IdentityFiles;
 import org.ragworttide.daemon.tls.PeerTls;
 import org.testng.annotations.AfterMethod;
@@ -79,6 +80,7 @@
         new PeerIdentity("fleet", new VmId(vm), new Incarnation(1)),
         (from, run, message) -> received.add(message),
         to -> Optional.of(HOST + ":" + receiver.port()),
+        new SendBudget(new ManualTimerService(), 100_000),
         new MetricRegistry(),
         tls);
   }
