--- a/coordination/src/main/java/org/ragworttide/coordination/membership/Membership.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/membership/Membership.java
@@ -238,13 +238,6 @@
   }
 
   private Optional<VmId> randomPeer() {
-    List<VmId> peers =
-        history.newest().map(VmList::vms).orElse(List.of()).stream()
-            .map(VmEntry::id)
-            .filter(vm -> !vm.equals(self))
-            .toList();
-    return peers.isEmpty()
-        ? Optional.empty()
-        : Optional.of(peers.get(random.nextInt(peers.size())));
+    return RandomPeers.pick(history.newest(), self, random);
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/quarantine/Quarantine.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/quarantine/Quarantine.java
@@ -14,8 +14,7 @@
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.membership.MembershipQueries;
-import org.ragworttide.coordination.membership.VmEntry;
-import org.ragworttide.coordination.membership.VmList;
+import org.ragworttide.coordination.membership.RandomPeers;
 import org.ragworttide.coordination.message.QuarantineMessage;
 import org.ragworttide.coordination.message.QuarantineMessage.Died;
 import org.ragworttide.coordination.message.QuarantineMessage.RunAnswer;
@@ -231,14 +230,7 @@
   }
 
   private Optional<VmId> randomPeer() {
-    List<VmId> peers =
-        membership.list().map(VmList::vms).orElse(List.of()).stream()
-            .map(VmEntry::id)
-            .filter(vm -> !vm.equals(self))
-            .toList();
-    return peers.isEmpty()
-        ? Optional.empty()
-        : Optional.of(peers.get(random.nextInt(peers.size())));
+    return RandomPeers.pick(membership.list(), self, random);
   }
 
   private static QuarantineDecision refused(
