Allow for the lag of load reports at cold engines; log and audit VM lists

Cause: a report was taken as measured at the earliest moment its clock difference allows, though the quickest report lags too, so a load from before a cold turn could count as one from after it. Admission now takes reports as 2 s older, the bound that the assumptions name.

--- a/coordination/src/main/java/org/ragworttide/coordination/Coordinator.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/Coordinator.java
@@ -56,6 +56,7 @@
  */
 public final class Coordinator {
   private static final double SOFT_PART = 0.4;
+  private static final long MAX_REPORT_LAG_MILLIS = 2_000;
 
   private final VmId self;
   private final Incarnation incarnation;
@@ -138,9 +139,9 @@
     if (rights != null) {
       router.facts().load(report);
       long load = report.running() + report.waiting();
-      rights
-          .cold()
-          .report(report.upstream(), report.incarnation(), report.measuredAtMillis(), load);
+      // Admission must not take a load from before a cold turn for one from after it.
+      long earliest = report.measuredAtMillis() - MAX_REPORT_LAG_MILLIS;
+      rights.cold().report(report.upstream(), report.incarnation(), earliest, load);
     }
   }
 
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
@@ -122,7 +122,7 @@
   private Mono<Void> serveOperators() {
     DaemonSettings.Address address = settings.operators().address();
     DaemonStatus status =
-        new DaemonStatus(settings, incarnation, coordinator, configuration, draining::get);
+        new DaemonStatus(settings, incarnation, coordinator, configuration, draining::get, audit);
     loop.every(DaemonStatus.REFRESH_MILLIS, status::refresh);
     return new OperatorServer(new Operators(status, this::drain), metrics, audit)
         .bind(address.host(), address.port())
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/DaemonStatus.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/DaemonStatus.java
@@ -8,6 +8,8 @@
 import org.ragworttide.coordination.id.Incarnation;
 import org.ragworttide.coordination.membership.VmEntry;
 import org.ragworttide.coordination.membership.VmList;
+import org.ragworttide.daemon.audit.AuditAction;
+import org.ragworttide.daemon.audit.AuditTrail;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
 import org.ragworttide.document.ConfigurationDocument;
@@ -27,20 +29,24 @@
   private final Coordinator coordinator;
   private final ConfigurationHolder configuration;
   private final BooleanSupplier draining;
+  private final AuditTrail audit;
   private volatile Map<String, Object> sections = Map.of();
   private volatile boolean converged;
+  private long listVersion;
 
   DaemonStatus(
       DaemonSettings settings,
       Incarnation incarnation,
       Coordinator coordinator,
       ConfigurationHolder configuration,
-      BooleanSupplier draining) {
+      BooleanSupplier draining,
+      AuditTrail audit) {
     this.settings = settings;
     this.incarnation = incarnation;
     this.coordinator = coordinator;
     this.configuration = configuration;
     this.draining = draining;
+    this.audit = audit;
   }
 
   boolean isReady() {
@@ -58,6 +64,7 @@
       EventLog.log(LogEvent.READY, document.version());
     }
     converged = ready;
+    coordinator.membership().list().ifPresent(this::noteList);
     Map<String, Object> next = new LinkedHashMap<>();
     next.put("vm", settings.vm().value());
     next.put("zone", settings.zone().value());
@@ -77,6 +84,19 @@
     sections = next;
   }
 
+  private void noteList(VmList list) {
+    if (list.version() != listVersion) {
+      EventLog.log(LogEvent.VM_LIST_APPLIED, list.version(), list.vms().size());
+      audit.record(
+          AuditAction.VM_LIST_APPLIED,
+          "platform",
+          "fleet",
+          listVersion == 0 ? "" : Long.toString(listVersion),
+          Long.toString(list.version()));
+      listVersion = list.version();
+    }
+  }
+
   private List<Map<String, Object>> vms(VmList list) {
     return list.vms().stream().map(this::vm).toList();
   }
