Keep the repeats of the total restart's test inside the retention

Cause: the test's retention was 6 s and its five repeats could each wait for seconds, so the last came back after the retention, when a key may run again by the contract.

--- a/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
@@ -1,5 +1,7 @@
 package org.ragworttide.daemon.process;
 
+import static org.testng.Assert.assertTrue;
+
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -16,12 +18,14 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.ragworttide.fakes.FakeSet;
 
 /** Three daemons as processes of their own before the stand-ins; used by one thread. */
 final class DaemonProcesses implements AutoCloseable {
   static final String KEY = "test-key";
+  private static final long LONG_ENOUGH_MILLIS = 90_000;
   private static final String SETTINGS =
       """
       {
@@ -134,6 +138,28 @@
     new ProcessBuilder("kill", signal, pid).start().waitFor(5, TimeUnit.SECONDS);
   }
 
+  /** Waits until a booking is run, which takes the claims' retention at least. */
+  void awaitBookings() {
+    int[] tries = {0};
+    await(() -> book(tries[0] % 3, "start-" + tries[0]++).join().status() == 201);
+  }
+
+  static void await(BooleanSupplier condition) {
+    long endNanos = System.nanoTime() + LONG_ENOUGH_MILLIS * 1_000_000;
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() < endNanos, "the condition never held");
+      pause();
+    }
+  }
+
+  static void pause() {
+    try {
+      Thread.sleep(100);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private static int freePort() throws IOException {
     try (ServerSocket socket = new ServerSocket(0)) {
       return socket.getLocalPort();
