Pick the ports of test processes together, and report daemons that never book

Cause found: DaemonProcesses picked nine ports one after the other, each closed before the next was picked, so the machine could give one twice. That the failed run had this cause is likely and not shown, since its log is gone.

Now FreePorts holds all sockets open until the last is found; the demo, which did so already, shares it. When no booking is run the failure names each daemon's state, answer and log. A second stop after a failed start no longer adds a failure of its own.

--- a/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
@@ -3,7 +3,6 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -21,6 +20,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.ragworttide.fakes.FakeSet;
+import org.ragworttide.fakes.FreePorts;
 
 /** Three daemons as processes of their own before the stand-ins; used by one thread. */
 final class DaemonProcesses implements AutoCloseable {
@@ -47,8 +47,9 @@
   private final List<Process> processes = new ArrayList<>();
 
   DaemonProcesses() throws IOException {
+    List<Integer> free = FreePorts.find(9);
     for (int i = 0; i < 3; i++) {
-      ports.add(new int[] {freePort(), freePort(), freePort()});
+      ports.add(new int[] {free.get(3 * i), free.get(3 * i + 1), free.get(3 * i + 2)});
     }
     fakes.platform().publishVms(TestDocuments.vms(ports.stream().map(p -> p[2]).toList()));
     for (int i = 0; i < 3; i++) {
@@ -139,9 +140,25 @@
   }
 
   /** Waits until a booking is run, which takes the claims' retention at least. */
-  void awaitBookings() {
+  void awaitBookings() throws IOException {
     int[] tries = {0};
-    await(() -> book(tries[0] % 3, "start-" + tries[0]++).join().status() == 201);
+    try {
+      await(() -> book(tries[0] % 3, "start-" + tries[0]++).join().status() == 201);
+    } catch (AssertionError e) {
+      throw new AssertionError("no booking was run: " + report(), e);
+    }
+  }
+
+  /** Tells for a failed test which daemons run, what they last answered and what they logged. */
+  private String report() throws IOException {
+    StringBuilder report = new StringBuilder();
+    for (int i = 0; i < processes.size(); i++) {
+      Process process = processes.get(i);
+      report.append("\nvm-").append(i).append(' ');
+      report.append(process.isAlive() ? status(i) : "ended with " + process.exitValue());
+      report.append("\nbooking: ").append(book(i, "report-" + i).join());
+    }
+    return report.append('\n').append(Files.readString(folder.resolve("log"))).toString();
   }
 
   static void await(BooleanSupplier condition) {
@@ -160,16 +177,13 @@
     }
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
-
   @Override
   public void close() throws IOException {
     processes.forEach(Process::destroyForcibly);
     fakes.close();
+    if (!Files.exists(folder)) {
+      return;
+    }
     try (Stream<Path> files = Files.walk(folder)) {
       files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
     }
--- a/fakes/src/main/java/org/ragworttide/fakes/demo/DemoFleet.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/demo/DemoFleet.java
@@ -1,8 +1,6 @@
 package org.ragworttide.fakes.demo;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -16,6 +14,7 @@
 import org.ragworttide.coordination.membership.VmState;
 import org.ragworttide.fakes.FakeEngine;
 import org.ragworttide.fakes.FakeSet;
+import org.ragworttide.fakes.FreePorts;
 
 /**
  * The stand-ins and three daemons in three availability zones, with settings in a folder that goes
@@ -127,7 +126,7 @@
   }
 
   private static List<DaemonProcess.Spot> spots() throws IOException {
-    List<Integer> ports = freePorts(ZONES.size() * 3);
+    List<Integer> ports = FreePorts.find(ZONES.size() * 3);
     List<DaemonProcess.Spot> spots = new ArrayList<>();
     for (int i = 0; i < ZONES.size(); i++) {
       spots.add(
@@ -141,20 +140,6 @@
     return spots;
   }
 
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    try {
-      for (int i = 0; i < count; i++) {
-        sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-      }
-      return sockets.stream().map(ServerSocket::getLocalPort).toList();
-    } finally {
-      for (ServerSocket socket : sockets) {
-        socket.close();
-      }
-    }
-  }
-
   private void deleteFolder() {
     try (Stream<Path> paths = Files.walk(folder)) {
       for (Path path : paths.sorted(Comparator.reverseOrder()).toList()) {
