Do not make up for periods that were missed in a pause

Found by reading: the daemon's loop ran periodic tasks at a fixed rate, so a process that wakes up after a pause runs all missed periods at once. After ten minutes that is 600 probes and 2,400 rounds of claims and learning back to back, through a byte budget that is full after the pause.

--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/CoordinationLoop.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/CoordinationLoop.java
@@ -44,8 +44,9 @@
 
   @Override
   public Subscription every(long periodMillis, Runnable task) {
+    // A fixed rate would make up for all periods missed in a pause at once, with their messages.
     return cancelling(
-        executor.scheduleAtFixedRate(
+        executor.scheduleWithFixedDelay(
             guard(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS));
   }
 
