Follow a running claim by questions, and keep claims from displacing leases

Cause, found by reading: an arrival whose key ran on another daemon began a whole round of votes every 100 ms for up to 5 s, and claims had the same priority as leases in the byte budget. One organisation that repeats its bookings at several daemons could use up the budget (4,096 B/s) and cost all organisations their lease owners.

Now the library follows the claimant with one question a tick, and claims are dropped before permits and leases.

Left: bookings of several organisations share what claims may use first come, first served.

--- a/coordination/src/main/java/org/ragworttide/coordination/claims/ClaimCollector.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/claims/ClaimCollector.java
@@ -7,13 +7,13 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.ragworttide.coordination.claims.ClaimDecision.Reason;
+import org.ragworttide.coordination.claims.PendingClaim.Arrival;
 import org.ragworttide.coordination.claims.PendingClaim.Phase;
 import org.ragworttide.coordination.group.AttemptNumbers;
 import org.ragworttide.coordination.group.IgnoredMessages;
 import org.ragworttide.coordination.id.RequestKey;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.message.ClaimMessage.Holder;
-import org.ragworttide.coordination.message.ClaimMessage.Status;
 import org.ragworttide.coordination.message.ClaimMessage.StatusAnswer;
 import org.ragworttide.coordination.message.ClaimMessage.Vote;
 import org.ragworttide.coordination.message.ClaimMessage.VoteAnswer;
@@ -58,16 +58,18 @@
   }
 
   /** Begins to decide a key, or waits for the decision that is under way. */
-  void decide(RequestKey key, Consumer<ClaimDecision> arrival) {
+  void decide(RequestKey key, long followMillis, Consumer<ClaimDecision> decision) {
+    long now = timers.nowMillis();
+    long followUntil = now + followMillis;
+    Arrival arrival = new Arrival(followUntil, decision);
+    long deadline = followUntil + 2 * settings.voteWindowMillis() + settings.statusMillis();
     PendingClaim present = pending.get(key);
     if (present != null) {
-      present.add(arrival);
+      present.add(arrival, deadline);
       return;
     }
-    long now = timers.nowMillis();
-    long deadline = now + 2 * settings.voteWindowMillis() + settings.statusMillis();
-    PendingClaim claim = new PendingClaim(key, deadline, new Phase.Pausing(now));
-    claim.add(arrival);
+    PendingClaim claim = new PendingClaim(key, new Phase.Pausing(now));
+    claim.add(arrival, deadline);
     pending.put(key, claim);
     beginRound(claim);
   }
@@ -94,7 +96,7 @@
         conclude(claim, round);
       }
       case Phase.Asking asking -> {
-        if (now - asking.sinceMillis() >= settings.statusMillis()) {
+        if (now - asking.heardMillis() >= settings.statusMillis()) {
           finish(claim, new ClaimDecision.MayHaveRun(Reason.CLAIMANT_LOST));
         } else {
           peers.ask(asking.holder(), asking.attempt(), claim.key());
@@ -162,11 +164,11 @@
     }
     pending.remove(claim.key());
     table.put(claim.key(), new LocalClaim.Running(), timers.nowMillis());
-    List<Consumer<ClaimDecision>> arrivals = claim.arrivals();
-    arrivals.getFirst().accept(new ClaimDecision.Granted());
+    List<Arrival> arrivals = claim.arrivals();
+    arrivals.getFirst().tell(new ClaimDecision.Granted());
     arrivals.stream()
         .skip(1)
-        .forEach(arrival -> arrival.accept(new ClaimDecision.Running(peers.self())));
+        .forEach(arrival -> arrival.tell(new ClaimDecision.Running(peers.self())));
   }
 
   private void retry(PendingClaim claim, VoteRound round, boolean over) {
@@ -208,21 +210,31 @@
     if (!asking.holder().vm().equals(from)) {
       return Optional.of(IgnoredMessages.Reason.UNKNOWN_SENDER);
     }
-    if (answer.status() == Status.NOT_RUN) {
-      pause(claim, from);
-    } else {
-      finish(claim, decisionOf(from, answer));
+    switch (answer.status()) {
+      case RUNNING -> follow(claim, asking);
+      case NOT_RUN -> pause(claim, from);
+      default -> finish(claim, endOf(answer));
     }
     return Optional.empty();
   }
 
-  private static ClaimDecision decisionOf(VmId from, StatusAnswer answer) {
-    return switch (answer.status()) {
-      case RUNNING -> new ClaimDecision.Running(from);
-      case COMPLETED -> new ClaimDecision.Completed(answer.answer().orElseThrow());
-      case MAY_HAVE_RUN -> new ClaimDecision.MayHaveRun(Reason.UPSTREAM_UNKNOWN);
-      case NOT_RUN -> new ClaimDecision.NotRun(Reason.GIVEN_UP);
-    };
+  private static ClaimDecision endOf(StatusAnswer answer) {
+    return answer
+        .answer()
+        .<ClaimDecision>map(ClaimDecision.Completed::new)
+        .orElse(new ClaimDecision.MayHaveRun(Reason.UPSTREAM_UNKNOWN));
+  }
+
+  /** Goes on asking the claimant that runs the request, for the arrivals that wait for its end. */
+  private void follow(PendingClaim claim, Phase.Asking asking) {
+    long now = timers.nowMillis();
+    VmId claimant = asking.holder().vm();
+    claim.enter(new Phase.Asking(asking.holder(), asking.attempt(), now));
+    List<Arrival> done = claim.removeDone(now);
+    if (claim.arrivals().isEmpty()) {
+      pending.remove(claim.key());
+    }
+    done.forEach(arrival -> arrival.tell(new ClaimDecision.Running(claimant)));
   }
 
   /** Lets the releases arrive, and lets one of two claimants go first. */
@@ -235,6 +247,6 @@
   private void finish(PendingClaim claim, ClaimDecision decision) {
     pending.remove(claim.key());
     peers.release(claim.key(), attempts.last());
-    claim.arrivals().forEach(arrival -> arrival.accept(decision));
+    claim.arrivals().forEach(arrival -> arrival.tell(decision));
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/claims/ClaimCommands.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/claims/ClaimCommands.java
@@ -18,7 +18,19 @@
 public interface ClaimCommands {
 
   /** Claims a request and tells the decision, at once or later. */
-  void claim(RequestKey key, Consumer<ClaimDecision> decision);
+  default void claim(RequestKey key, Consumer<ClaimDecision> decision) {
+    claim(key, 0, decision);
+  }
+
+  /**
+   * Claims a request and follows the one that holds the key already, until it has ended.
+   *
+   * @param key names the request
+   * @param followMillis how long a run on another daemon is followed before this arrival is told
+   *     that it is running, not negative
+   * @param decision told once
+   */
+  void claim(RequestKey key, long followMillis, Consumer<ClaimDecision> decision);
 
   /** Notes the answer of a granted request, for later arrivals. */
   void completed(RequestKey key, ClaimAnswer answer);
--- a/coordination/src/main/java/org/ragworttide/coordination/claims/ClaimManager.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/claims/ClaimManager.java
@@ -65,7 +65,10 @@
   }
 
   @Override
-  public void claim(RequestKey key, Consumer<ClaimDecision> decision) {
+  public void claim(RequestKey key, long followMillis, Consumer<ClaimDecision> decision) {
+    if (followMillis < 0) {
+      throw new IllegalArgumentException("followMillis must not be negative");
+    }
     Optional<ClaimDecision> known = table.find(key).flatMap(this::decisionOf);
     if (known.isPresent()) {
       decision.accept(known.get());
@@ -74,7 +77,7 @@
     } else if (collector.isFull()) {
       decision.accept(new ClaimDecision.MayHaveRun(Reason.FULL));
     } else {
-      collector.decide(key, decision);
+      collector.decide(key, followMillis, decision);
     }
   }
 
--- a/coordination/src/main/java/org/ragworttide/coordination/claims/PendingClaim.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/claims/PendingClaim.java
@@ -13,13 +13,12 @@
  */
 final class PendingClaim {
   private final RequestKey key;
-  private final long deadlineMillis;
-  private final List<Consumer<ClaimDecision>> arrivals = new ArrayList<>();
+  private final List<Arrival> arrivals = new ArrayList<>();
+  private long deadlineMillis;
   private Phase phase;
 
-  PendingClaim(RequestKey key, long deadlineMillis, Phase phase) {
+  PendingClaim(RequestKey key, Phase phase) {
     this.key = key;
-    this.deadlineMillis = deadlineMillis;
     this.phase = phase;
   }
 
@@ -39,14 +38,37 @@
     phase = next;
   }
 
-  void add(Consumer<ClaimDecision> arrival) {
+  /** Adds an arrival that is to be told a decision before the given time. */
+  void add(Arrival arrival, long newDeadlineMillis) {
     arrivals.add(arrival);
+    deadlineMillis = Math.max(deadlineMillis, newDeadlineMillis);
   }
 
-  List<Consumer<ClaimDecision>> arrivals() {
+  List<Arrival> arrivals() {
     return arrivals;
   }
 
+  /** Removes and returns the arrivals that follow the claimant no longer. */
+  List<Arrival> removeDone(long nowMillis) {
+    List<Arrival> done =
+        arrivals.stream().filter(arrival -> arrival.followUntilMillis() <= nowMillis).toList();
+    arrivals.removeAll(done);
+    return done;
+  }
+
+  /**
+   * One request for the key at this VM.
+   *
+   * @param followUntilMillis until when the run of another claimant is followed
+   * @param decision told once
+   */
+  record Arrival(long followUntilMillis, Consumer<ClaimDecision> decision) {
+
+    void tell(ClaimDecision told) {
+      decision.accept(told);
+    }
+  }
+
   /** What a pending claim is waiting for. */
   sealed interface Phase {
 
@@ -62,9 +84,9 @@
      *
      * @param holder the claimant
      * @param attempt the number of the question
-     * @param sinceMillis when it was asked first
+     * @param heardMillis when it answered last, or was asked first
      */
-    record Asking(Holder holder, long attempt, long sinceMillis) implements Phase {}
+    record Asking(Holder holder, long attempt, long heardMillis) implements Phase {}
 
     /**
      * Another round of votes.
--- a/coordination/src/main/java/org/ragworttide/coordination/control/ByteBudget.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/control/ByteBudget.java
@@ -39,11 +39,13 @@
 
   /** Importance of control traffic; the last is refused first. */
   public enum Priority {
-    /** Leases, claims and what else keeps the rules. */
+    /** Leases, versions and what else all organisations depend on. */
     SAFETY(0),
     /** Permits and admission, which callers wait for. */
     SERVICE(25),
-    /** Versions, lists and probes, which are repeated anyway. */
+    /** Claims, whose number callers determine. */
+    CLAIM(35),
+    /** Lists, probes and whole documents, which are repeated anyway. */
     BACKGROUND(50);
 
     private final int reservedPercent;
--- a/coordination/src/test/java/org/ragworttide/coordination/claims/ClaimFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/claims/ClaimFleet.java
@@ -63,12 +63,18 @@
 
   /** Claims a key at a VM and returns the list that will hold the decision. */
   List<ClaimDecision> claim(String vm, String key) {
+    return claim(vm, key, 0);
+  }
+
+  /** Claims a key and follows a run elsewhere; returns the list that will hold the decision. */
+  List<ClaimDecision> claim(String vm, String key, long followMillis) {
     List<ClaimDecision> decisions = new ArrayList<>();
     RequestKey requestKey = new RequestKey(key);
     fleet
         .part(new VmId(vm))
         .claim(
             requestKey,
+            followMillis,
             decision -> {
               check(requestKey, decision);
               decisions.add(decision);
--- a/coordination/src/test/java/org/ragworttide/coordination/control/ByteBudgetTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/control/ByteBudgetTest.java
@@ -36,6 +36,15 @@
     assertEquals(budget.dropped(Priority.BACKGROUND), 1);
   }
 
+  @Test
+  public void claimsLeaveRoomForLeasesAndPermits() {
+    ByteBudget budget = new ByteBudget(100, 1_000, 0);
+    assertTrue(budget.tryPass(Priority.CLAIM, 650, 0));
+    assertFalse(budget.tryPass(Priority.CLAIM, 1, 0));
+    assertTrue(budget.tryPass(Priority.SERVICE, 100, 0));
+    assertTrue(budget.tryPass(Priority.SAFETY, 250, 0));
+  }
+
   @Test
   public void refillsWithTime() {
     ByteBudget budget = new ByteBudget(100, 1_000, 0);
--- a/daemon/src/main/java/org/ragworttide/daemon/peer/SendBudget.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/peer/SendBudget.java
@@ -44,7 +44,7 @@
   private static Priority priority(PeerMessage message) {
     return switch (message) {
       case LeaseMessage topic -> Priority.SAFETY;
-      case ClaimMessage topic -> Priority.SAFETY;
+      case ClaimMessage topic -> Priority.CLAIM;
       case GroupMessage topic -> Priority.SAFETY;
       case QuarantineMessage topic -> Priority.SAFETY;
       case LimitMessage topic -> Priority.SERVICE;
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/FleetClaims.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/FleetClaims.java
@@ -38,8 +38,9 @@
   }
 
   private Mono<ClaimDecision> claim(RequestKey key, long sinceMillis) {
+    long followMillis = Math.max(0, sinceMillis + MAX_WAIT_MILLIS - loop.nowMillis());
     return loop.<org.ragworttide.coordination.claims.ClaimDecision>call(
-            answer -> coordinator.claimCommands().claim(key, answer))
+            answer -> coordinator.claimCommands().claim(key, followMillis, answer))
         .flatMap(decision -> translate(decision, key, sinceMillis));
   }
 
@@ -61,6 +62,7 @@
     };
   }
 
+  /** Asks again after a while, which costs no message while the first runs on this daemon. */
   private Mono<ClaimDecision> waitForFirst(RequestKey key, long sinceMillis) {
     if (loop.nowMillis() - sinceMillis >= MAX_WAIT_MILLIS) {
       return Mono.just(new ClaimDecision.FirstRunning());
--- a/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
@@ -2,18 +2,23 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.ragworttide.coordination.id.Incarnation;
+import org.ragworttide.coordination.id.RequestKey;
 import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.ClaimMessage;
+import org.ragworttide.coordination.message.LeaseMessage;
 import org.ragworttide.coordination.message.MembershipMessage;
 import org.ragworttide.coordination.message.PeerMessage;
 import org.ragworttide.coordination.time.ManualTimerService;
@@ -75,6 +80,18 @@
     assertEquals(passed, 3);
   }
 
+  @Test
+  public void claimsDoNotUseUpWhatLeasesNeed() {
+    SendBudget budget = new SendBudget(new ManualTimerService(), 10);
+    Incarnation run = new Incarnation(1);
+    PeerMessage claim = new ClaimMessage.VoteRequest(1, 1, run, new RequestKey("booking"));
+    while (budget.tryPass(claim, 100)) {
+      // Uses up all that claims may have.
+    }
+    PeerMessage lease = new LeaseMessage.Release(1, run, List.of(1));
+    assertTrue(budget.tryPass(lease, 100));
+  }
+
   @Test
   public void messageAfterThePeerHasRestartedReachesIt() throws InterruptedException {
     PeerNetwork sender = sender("fleet");
