Estimate a queue's wait without bias, and refuse no burst by an estimate

Cause: organisations that keep to their rates were refused as too late during a surge, most of them (11 of 12) with few of their own requests waiting. The rate of dispatch was a mean of gaps weighted by their length, begun with the first gap alone: just after the engines had filled up it estimated 3,740 ms a request where 540 ms was true.

Now the estimate is a count over a time, both fading alike, with one request assumed beyond the count; time since the last dispatch counts. An organisation within its burst is not refused by an estimate; beyond it, a quarter is added to the estimate.

Four new tests of FairQueueTest; with the old FairQueue and DispatchRate all four failed (the irregular gaps gave 562 ms for a mean of 100).

--- a/coordination/src/main/java/org/ragworttide/coordination/queueing/DispatchRate.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/queueing/DispatchRate.java
@@ -3,15 +3,17 @@
 /**
  * Measures how fast a queue that holds work back sends requests on.
  *
- * <p>Invariant: only time in which work was held back counts, since an empty queue says nothing
- * about what the upstreams can take. Confined to the coordination thread.
+ * <p>Invariants: only time in which work was held back counts, since an empty queue says nothing
+ * about what the upstreams can take; the estimate is the time over the count, both fading alike, so
+ * irregular gaps do not lengthen it; one request more than counted is assumed, so a single gap does
+ * not decide. Confined to the coordination thread.
  */
 final class DispatchRate {
   private final long windowMillis;
   private boolean held;
   private long lastMillis;
-  private double millisPerRequest;
-  private long pendingMillis;
+  private double heldMillis;
+  private double dispatched;
 
   DispatchRate(long windowMillis) {
     this.windowMillis = windowMillis;
@@ -20,7 +22,7 @@
   /** Notes that work had to wait. */
   void held(long nowMillis) {
     if (held) {
-      pendingMillis += nowMillis - lastMillis;
+      countUpTo(nowMillis);
     }
     held = true;
     lastMillis = nowMillis;
@@ -28,29 +30,29 @@
 
   /** Notes that a request was sent on. */
   void dispatched(long nowMillis) {
-    if (!held) {
-      return;
+    if (held) {
+      countUpTo(nowMillis);
+      dispatched++;
     }
-    pendingMillis += nowMillis - lastMillis;
-    lastMillis = nowMillis;
-    double weight = Math.min(0.5, Math.max(pendingMillis, 1.0) / windowMillis + 0.02);
-    boolean first = millisPerRequest == 0;
-    millisPerRequest = first ? pendingMillis : mix(weight);
-    pendingMillis = 0;
   }
 
   /** Notes that nothing waits any more. */
   void idle() {
     held = false;
-    pendingMillis = 0;
   }
 
   /** Returns how long it takes to send so many requests on. */
-  long millisFor(long requests) {
-    return (long) (requests * millisPerRequest);
+  long millisFor(long requests, long nowMillis) {
+    long sinceLast = held ? nowMillis - lastMillis : 0;
+    double keep = Math.exp((double) -sinceLast / windowMillis);
+    return (long) (requests * (heldMillis * keep + sinceLast) / (dispatched * keep + 1));
   }
 
-  private double mix(double weight) {
-    return millisPerRequest + weight * (pendingMillis - millisPerRequest);
+  private void countUpTo(long nowMillis) {
+    long sinceLast = nowMillis - lastMillis;
+    double keep = Math.exp((double) -sinceLast / windowMillis);
+    heldMillis = heldMillis * keep + sinceLast;
+    dispatched *= keep;
+    lastMillis = nowMillis;
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/queueing/FairQueue.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/queueing/FairQueue.java
@@ -15,12 +15,15 @@
  * organisations.
  *
  * <p>Invariants: it never holds more than its bound; a full queue refuses the organisation with the
- * most waiting requests; a request whose answer cannot be whole in time is refused, never sent; a
- * refused request has not run. Confined to the coordination thread.
+ * most waiting requests; a request whose answer cannot be whole in time is refused, never sent; an
+ * estimate alone refuses no organisation that has no more than its burst waiting; a refused request
+ * has not run. Confined to the coordination thread.
  *
  * @param <T> the type of what the embedder attaches to a request
  */
 public final class FairQueue<T> {
+  private static final double WAIT_MARGIN = 1.25;
+
   private final TimerService time;
   private final QueueSettings settings;
   private final BiConsumer<Entry<T>, QueueRefusal> refused;
@@ -47,7 +50,7 @@
   /** Queues a request, or says at once why it is refused. */
   public Offer<T> offer(Work work, T attachment) {
     long wait = estimatedWaitMillis(work.organisation(), work.cost());
-    if (!work.canFinish(time.nowMillis() + wait)) {
+    if (!canFinish(work, wait)) {
       return new Offer.Refused<>(QueueRefusal.TOO_LATE, wait);
     }
     if (size >= settings.maxEntries() && !makeRoom(work.organisation())) {
@@ -143,7 +146,14 @@
     for (OrganisationQueue<T> queue : organisations.values()) {
       ahead += queue == own ? 0 : queue.startingBefore(start);
     }
-    return rate.millisFor(ahead);
+    return rate.millisFor(ahead, time.nowMillis());
+  }
+
+  /** Tells whether the answer can be whole in time; beyond the burst, with a margin. */
+  private boolean canFinish(Work work, long waitMillis) {
+    boolean withinBurst = size(work.organisation()) <= settings.burstRequests();
+    long allowance = withinBurst ? 0 : (long) (waitMillis * WAIT_MARGIN);
+    return work.canFinish(time.nowMillis() + allowance);
   }
 
   private double earliestStart(double cost) {
--- a/coordination/src/test/java/org/ragworttide/coordination/queueing/FairQueueTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/queueing/FairQueueTest.java
@@ -127,6 +127,54 @@
     assertTrue(queue.offer(work(QUIET, now + 300, 0), 21) instanceof Offer.Queued);
   }
 
+  @Test
+  public void estimateRefusesNoOrganisationWithinItsBurst() {
+    holdAndSendOnAfter(500);
+    holdAndSendOnAfter(500);
+    long now = time.nowMillis();
+    assertTrue(queue.offer(work(QUIET, now + 100, 0), 20) instanceof Offer.Queued);
+    assertTrue(queue.offer(work(QUIET, now + 100, 0), 21) instanceof Offer.Queued);
+    assertTrue(queue.offer(work(QUIET, now + 100, 0), 22) instanceof Offer.Refused);
+  }
+
+  @Test
+  public void irregularGapsDoNotLengthenTheEstimate() {
+    for (int round = 0; round < 8; round++) {
+      holdAndSendOnAfter(910);
+      for (int i = 0; i < 9; i++) {
+        holdAndSendOnAfter(10);
+      }
+    }
+    long estimate = queue.estimatedWaitMillis(LOUD, 1) / queue.size();
+    assertTrue(estimate < 150, "estimate " + estimate + " of a mean gap of 100");
+  }
+
+  @Test
+  public void oneLongGapDoesNotDecideTheEstimate() {
+    holdAndSendOnAfter(3_000);
+    assertTrue(queue.estimatedWaitMillis(LOUD, 1) / queue.size() <= 1_500);
+  }
+
+  @Test
+  public void estimateGrowsWhileNothingIsSentOn() {
+    holdAndSendOnAfter(100);
+    queue.offer(work(LOUD, FAR, 0), 0);
+    queue.dispatch(entry -> false);
+    final long before = queue.estimatedWaitMillis(LOUD, 1);
+    time.advance(2_000);
+    assertTrue(queue.estimatedWaitMillis(LOUD, 1) > before + 1_000);
+  }
+
+  private void holdAndSendOnAfter(long millis) {
+    while (queue.size() < 2) {
+      queue.offer(work(LOUD, FAR, 0), 0);
+    }
+    queue.dispatch(entry -> false);
+    time.advance(millis);
+    int[] left = {1};
+    queue.dispatch(entry -> left[0]-- > 0);
+  }
+
   @Test
   public void priorityOrdersOnlyOwnWork() {
     queue.offer(work(QUIET, FAR, 0), 1);
