Lend reserves and let owners confirm large ones at small fleets

Cause: requests inside an organisation's rate were refused when the owner of its limit was lost or a VM was cut off, since only 10 % of the limit was on the VMs and nobody else could use what one VM left idle.

Up to ten entry VMs, each VM now lends from its reserve to peers whose owner has no token or is silent, and the reserve grows to its share of 90 % of the limit while the owner has confirmed it within 60 s. What no confirmed VM holds is with the owner, so the share of a VM that does not run stays usable. Asks and answers that exist carry both, under part numbers beyond those of parts; an owner without these rules answers that it does not own such a part, and the reserve stays at 10 %.

Rules: an owner shrinks before it confirms and hands over whole tokens that it loses; it tells the VM to wait while it has lent more than is left; a new owner counts every VM as confirmed until confirmations of earlier owners are over; a lent permit is over before the share shrinks; a VM that has just started refills only when what it may have lent before is over.

The trials of bin/bench now warm up for 75 s in place of 15 s, longer than a confirmation; the owners are lost at the same times after the start.

LimitOwnerTest passes one more argument to the constructor; nothing that it checks has changed.

Green: ./build -o -q -pl coordination,bench -am verify.

--- a/bench/src/main/java/org/ragworttide/bench/coordination/LimitMeasures.java
+++ b/bench/src/main/java/org/ragworttide/bench/coordination/LimitMeasures.java
@@ -20,6 +20,9 @@
               LoadPattern.SURGE, 0.02));
   private static final double MIN_WORST_SERVED = 0.95;
   private static final int TODAY_VMS = 7;
+  private static final int TARGET_VMS = 350;
+  private static final List<LimitSettings> OTHER_WAYS =
+      List.of(settings(0, 0), settings(0.1, 0.1), settings(0.1, 0.6), settings(0.9, 0.9));
 
   private final Report report;
   private final List<Long> seeds;
@@ -32,25 +35,28 @@
   void run() {
     TrialSize today = TrialSize.of(TODAY_VMS, 10, 600, 60_000);
     for (LoadPattern pattern : LoadPattern.values()) {
-      measure(today, pattern, LimitSettings.DEFAULT_RESERVE_SHARE, true);
+      measure(today, pattern, LimitSettings.of(TODAY_VMS + 1), true);
     }
-    for (double share : new double[] {0, 0.2, 0.4}) {
+    for (LimitSettings other : OTHER_WAYS) {
       for (LoadPattern pattern : LoadPattern.values()) {
-        measure(today, pattern, share, false);
+        measure(today, pattern, other, false);
       }
     }
-    TrialSize target = TrialSize.of(350, 1_100, 3_000, 20_000);
-    measure(target, LoadPattern.EVEN, LimitSettings.DEFAULT_RESERVE_SHARE, true);
-    measure(target, LoadPattern.SURGE, LimitSettings.DEFAULT_RESERVE_SHARE, true);
+    TrialSize target = TrialSize.of(TARGET_VMS, 1_100, 3_000, 20_000);
+    LimitSettings settings = LimitSettings.of(TARGET_VMS + 1);
+    measure(target, LoadPattern.EVEN, settings, true);
+    measure(target, LoadPattern.SURGE, settings, true);
   }
 
-  private void measure(TrialSize size, LoadPattern pattern, double reserveShare, boolean bounded) {
+  private void measure(
+      TrialSize size, LoadPattern pattern, LimitSettings settings, boolean bounded) {
     List<LimitResult> results =
         seeds.stream()
-            .map(seed -> new LimitTrial(size, pattern, reserveShare, seed, (f, t, m) -> {}).run())
+            .map(seed -> new LimitTrial(size, pattern, settings, seed, (f, t, m) -> {}).run())
             .toList();
     Map<String, Object> labels = CoordinationBenchmark.labels("vms", size.vms(), "load", pattern);
-    labels.put("reserveShare", reserveShare);
+    labels.put("reserveShare", settings.reserveShare());
+    labels.put("confirmedShare", settings.confirmedShare());
     report.atMost("overshoot", labels, all(results, LimitResult::overshoot), 0);
     List<Double> wrongful = all(results, LimitResult::wrongful);
     List<Double> worst = all(results, LimitResult::worstServed);
@@ -68,6 +74,11 @@
     report.plain("worstServedOfFixedShares", labels, all(results, LimitResult::fixedWorstServed));
   }
 
+  private static LimitSettings settings(double reserveShare, double confirmedShare) {
+    long retryWindow = LimitSettings.DEFAULT_RETRY_WINDOW_MILLIS;
+    return new LimitSettings(TODAY_VMS + 1, reserveShare, confirmedShare, retryWindow);
+  }
+
   private static List<Double> all(List<LimitResult> results, ToDoubleFunction<LimitResult> value) {
     return results.stream().map(value::applyAsDouble).toList();
   }
--- a/bench/src/main/java/org/ragworttide/bench/coordination/LimitTrial.java
+++ b/bench/src/main/java/org/ragworttide/bench/coordination/LimitTrial.java
@@ -20,9 +20,10 @@
  * <p>Invariant: both see the same requests at the same times. Not safe for use by several threads.
  */
 final class LimitTrial {
-  private static final int WARM_UP_MILLIS = 15_000;
+  private static final int WARM_UP_MILLIS = 75_000;
   private static final int LEASE_MILLIS = 3_000;
   private static final int OWNER_LIFE_MILLIS = 20_000;
+  private static final int FIRST_LOSS_MILLIS = 5_000;
   private static final int CUT_PERIOD_MILLIS = 30_000;
   private static final int CUT_MILLIS = 10_000;
   private static final int BURST_PERIOD_MILLIS = 10_000;
@@ -41,13 +42,12 @@
   private final int durationMillis;
   private int nextRequest;
 
-  LimitTrial(TrialSize size, LoadPattern pattern, double reserveShare, long seed, MessageTap tap) {
+  LimitTrial(
+      TrialSize size, LoadPattern pattern, LimitSettings settings, long seed, MessageTap tap) {
     this.pattern = pattern;
     this.random = new SplittableRandom(seed);
     this.durationMillis = size.durationMillis();
-    int maxVms = size.vms() + 1;
-    this.fleet =
-        new LimitFleet(seed, size.vms(), new LimitSettings(maxVms, reserveShare, 60_000), tap);
+    this.fleet = new LimitFleet(seed, size.vms(), settings, tap);
     size.rates().forEach((id, rate) -> table.put(id, new RateLimit(rate, Math.max(5, 2 * rate))));
     table.forEach(
         (id, limit) -> {
@@ -56,7 +56,7 @@
           fixedChecker.limit(id, limit, 0);
         });
     fleet.apply(table);
-    fixed = new FixedShares(table, maxVms);
+    fixed = new FixedShares(table, settings.maxEntryVms());
     scriptOwners();
   }
 
@@ -86,8 +86,12 @@
     for (OrganisationId id : table.keySet()) {
       for (String resource : fleet.resources(id)) {
         int owner = shard++;
-        for (long from = 0; from < end; from += life + LEASE_MILLIS) {
-          fleet.owners.hold(resource, fleet.vms.get(owner++ % last), from, from + life);
+        long from = 0;
+        long to = Math.max(life, WARM_UP_MILLIS + FIRST_LOSS_MILLIS);
+        while (from < end) {
+          fleet.owners.hold(resource, fleet.vms.get(owner++ % last), from, to);
+          from = to + LEASE_MILLIS;
+          to = from + life;
         }
       }
     }
--- a/bench/src/main/java/org/ragworttide/bench/coordination/TrafficMeasures.java
+++ b/bench/src/main/java/org/ragworttide/bench/coordination/TrafficMeasures.java
@@ -75,8 +75,8 @@
     TrialSize size =
         TrialSize.of(vms, ORGANISATIONS, REQUESTS_PER_SECOND_A_NODE * vms, DURATION_MILLIS);
     final long heapBefore = usedHeap();
-    double share = LimitSettings.DEFAULT_RESERVE_SHARE;
-    LimitTrial trial = new LimitTrial(size, LoadPattern.EVEN, share, seed, meter);
+    LimitSettings settings = LimitSettings.of(vms + 1);
+    LimitTrial trial = new LimitTrial(size, LoadPattern.EVEN, settings, seed, meter);
     final long cpuBefore = cpuNanos();
     trial.run();
     final long cpu = cpuNanos() - cpuBefore;
--- a/coordination/src/main/java/org/ragworttide/coordination/SharedRights.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/SharedRights.java
@@ -13,6 +13,7 @@
 import org.ragworttide.coordination.lease.LeaseSettings;
 import org.ragworttide.coordination.limits.LimitSettings;
 import org.ragworttide.coordination.limits.Limits;
+import org.ragworttide.coordination.membership.VmEntry;
 import org.ragworttide.coordination.membership.VmList;
 import org.ragworttide.coordination.message.GroupMessage;
 import org.ragworttide.coordination.message.Transport;
@@ -76,6 +77,7 @@
   void adopt(VmList list) {
     leases.adopt(list);
     claims.adopt(list);
+    limits.peers(list.vms().stream().map(VmEntry::id).toList());
   }
 
   void receive(VmId from, GroupMessage message) {
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/AskOutbox.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/AskOutbox.java
@@ -82,7 +82,7 @@
   private void send(VmId owner, Box box) {
     List<PendingAsk.Wanted> wanted = new ArrayList<>();
     while (wanted.size() < MAX_WANTS && !box.wishes.isEmpty()) {
-      wanted.add(nextWanted(box));
+      wanted.add(nextWanted(owner, box));
     }
     List<Close> closes = new ArrayList<>();
     while (closes.size() < MAX_CLOSES && !box.closes.isEmpty()) {
@@ -94,14 +94,13 @@
     sender.accept(owner, new PendingAsk(owner, time.nowMillis(), ask, wanted));
   }
 
-  private PendingAsk.Wanted nextWanted(Box box) {
+  private PendingAsk.Wanted nextWanted(VmId owner, Box box) {
     Map.Entry<LimitPart, HolderAccount> wish = box.wishes.entrySet().iterator().next();
     LimitPart part = wish.getKey();
     HolderAccount account = wish.getValue();
-    List<Waiter> waiters = account.takeWaiting(part, MAX_REQUESTS_A_WANT);
-    boolean more = account.isAwaited(part);
-    boolean home = part.equals(account.homePart());
-    int spare = more || !home ? 0 : account.spareTokens(time.nowMillis());
+    List<Waiter> waiters = account.takeWaiting(part, owner, MAX_REQUESTS_A_WANT);
+    boolean more = account.isAwaited(part, owner);
+    int spare = more ? 0 : account.spareTokens(part, time.nowMillis());
     if (!more) {
       box.wishes.remove(part);
     }
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/HolderAccount.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/HolderAccount.java
@@ -4,14 +4,16 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.ragworttide.coordination.id.OrganisationId;
+import org.ragworttide.coordination.id.VmId;
 
 /**
  * One organisation's permits, reserve and waiting requests on this VM.
  *
- * <p>Invariant: the reserve starts empty in each run of the process. Not safe for use by several
- * threads.
+ * <p>Not safe for use by several threads.
  */
 final class HolderAccount {
   private static final int PREFETCH_MILLIS = 500;
@@ -19,10 +21,11 @@
   private static final int MAX_WAITING = 1_024;
 
   private final OrganisationId organisation;
-  private final TokenBucket reserve;
+  private final Reserve reserve;
   private final DemandRate demand;
   private final Deque<Permit> permits = new ArrayDeque<>(2);
   private final Deque<Waiter> waiting = new ArrayDeque<>(2);
+  private final Map<VmId, Long> lendersEmptyUntilMillis = new HashMap<>(2);
   private final int home;
   private long[] emptyUntilMillis;
   private boolean prefetching;
@@ -30,7 +33,7 @@
 
   HolderAccount(OrganisationId organisation, LimitShares shares, int home, long startMillis) {
     this.organisation = organisation;
-    this.reserve = new TokenBucket(shares.reserve(), startMillis);
+    this.reserve = new Reserve(shares, startMillis);
     this.emptyUntilMillis = filled(shares.parts(), startMillis);
     this.home = home;
     this.demand = new DemandRate(startMillis);
@@ -38,9 +41,7 @@
 
   /** Puts changed shares in force. */
   void change(LimitShares shares, long nowMillis) {
-    if (!reserve.limit().equals(shares.reserve())) {
-      reserve.change(shares.reserve(), nowMillis);
-    }
+    reserve.change(shares, nowMillis);
     if (shares.parts() != emptyUntilMillis.length) {
       emptyUntilMillis = filled(shares.parts(), nowMillis);
     }
@@ -57,14 +58,16 @@
 
   /** Returns the part to ask for a request. */
   LimitPart partFor(Waiter waiter) {
-    return new LimitPart(organisation, waiter.part(parts()));
+    return waiter.lender().isPresent()
+        ? LimitPart.reserve(organisation)
+        : new LimitPart(organisation, waiter.part(parts()));
   }
 
   OrganisationId organisation() {
     return organisation;
   }
 
-  TokenBucket reserve() {
+  Reserve reserve() {
     return reserve;
   }
 
@@ -87,16 +90,6 @@
     return false;
   }
 
-  boolean useReserve(long nowMillis) {
-    reserve.refill(nowMillis);
-    return reserve.take(1) == 1;
-  }
-
-  boolean useFullReserve(long nowMillis) {
-    reserve.refill(nowMillis);
-    return reserve.isFull() && reserve.take(1) == 1;
-  }
-
   void add(Permit permit) {
     permits.addLast(permit);
   }
@@ -112,11 +105,15 @@
     return permits.stream().mapToInt(permit -> permit.left(nowMillis)).sum();
   }
 
-  /** Returns how many tokens beyond the waiting ones are worth asking for. */
-  int spareTokens(long nowMillis) {
+  /** Returns how many tokens beyond the waiting ones are worth asking a part for. */
+  int spareTokens(LimitPart part, long nowMillis) {
+    boolean askable = part.isReserve() || part.equals(homePart());
+    if (!askable || isKnownEmpty(part, nowMillis)) {
+      return 0;
+    }
     int expected = demand.expectedWithin(PREFETCH_MILLIS, nowMillis);
     long missing = Math.min(MAX_SPARE_TOKENS, expected) - heldTokens(nowMillis);
-    return isKnownEmpty(homePart(), nowMillis) ? 0 : (int) Math.max(0, missing);
+    return (int) Math.max(0, missing);
   }
 
   /** Returns whether tokens should be fetched before the held ones are used. */
@@ -145,20 +142,31 @@
     return waiting.size() < MAX_WAITING && waiting.add(waiter);
   }
 
-  /** Removes and returns up to the given number of requests that wait for a part. */
-  List<Waiter> takeWaiting(LimitPart part, int max) {
+  /** Removes and returns up to the given number of requests that wait for a part at a VM. */
+  List<Waiter> takeWaiting(LimitPart part, VmId askedVm, int max) {
     List<Waiter> taken = new ArrayList<>();
     waiting.removeIf(
-        waiter -> taken.size() < max && partFor(waiter).equals(part) && taken.add(waiter));
+        waiter -> taken.size() < max && waitsFor(waiter, part, askedVm) && taken.add(waiter));
     return taken;
   }
 
-  boolean isAwaited(LimitPart part) {
-    return waiting.stream().anyMatch(waiter -> partFor(waiter).equals(part));
+  boolean isAwaited(LimitPart part, VmId askedVm) {
+    return waiting.stream().anyMatch(waiter -> waitsFor(waiter, part, askedVm));
+  }
+
+  private boolean waitsFor(Waiter waiter, LimitPart part, VmId askedVm) {
+    return partFor(waiter).equals(part) && waiter.lender().map(askedVm::equals).orElse(true);
+  }
+
+  boolean isLenderEmpty(VmId lender, long nowMillis) {
+    return lendersEmptyUntilMillis.getOrDefault(lender, Long.MIN_VALUE) > nowMillis;
   }
 
-  void knownEmptyUntil(LimitPart part, long millis) {
-    if (part.index() < parts()) {
+  /** Notes that a part, or the reserve of the asked VM, has no token before the given time. */
+  void emptyUntil(LimitPart part, VmId askedVm, long millis) {
+    if (part.isReserve()) {
+      lendersEmptyUntilMillis.put(askedVm, millis);
+    } else if (part.index() < parts()) {
       emptyUntilMillis[part.index()] = millis;
     }
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitCommands.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitCommands.java
@@ -1,5 +1,6 @@
 package org.ragworttide.coordination.limits;
 
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.ragworttide.coordination.id.OrganisationId;
@@ -26,6 +27,9 @@
   /** Puts the limits of a configuration version in force, in place of all earlier ones. */
   void apply(Map<OrganisationId, RateLimit> limits);
 
+  /** Gives the entry VMs from whose reserves this VM may borrow, in place of all earlier ones. */
+  void peers(List<VmId> vms);
+
   /** Takes in a message of a peer. */
   void receive(VmId from, LimitMessage message);
 
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitHolder.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitHolder.java
@@ -1,9 +1,7 @@
 package org.ragworttide.coordination.limits;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -18,23 +16,27 @@
  * Admits requests on this VM by permits of the owners and by the VM's own reserves.
  *
  * <p>Invariants: a request that is admitted and counted has used a token that was debited before;
- * each request is decided once, within {@link LimitTimes#ASK_TIMEOUT_MILLIS} of its ask. Not safe
- * for use by several threads.
+ * each request is decided once, within {@link LimitTimes#ASK_TIMEOUT_MILLIS} of its last ask, of
+ * which there are few. Not safe for use by several threads.
  */
 final class LimitHolder {
   private static final int UNKNOWN_OWNER_RETRY_MILLIS = 500;
-  private static final int UNKNOWN_ORGANISATION_RETRY_MILLIS = 5_000;
-  private static final int SILENT_OWNER_MILLIS = 1_000;
+  private static final LimitDecision.Refused UNKNOWN_ORGANISATION =
+      new LimitDecision.Refused(5_000, RefusalReason.UNKNOWN_ORGANISATION);
+
+  private static final LimitDecision.Refused UNREACHABLE =
+      new LimitDecision.Refused(LimitPeers.SILENT_MILLIS, RefusalReason.OWNER_UNREACHABLE);
 
   private final VmId self;
   private final TimerService time;
   private final OwnerView owners;
-  private final RequestMemory memory;
+  private final LimitVerdicts verdicts;
   private final LimitTally tally;
   private final AskOutbox outbox;
-  private final Map<OrganisationId, HolderAccount> accounts = new HashMap<>();
-  private final Map<Long, PendingAsk> pending = new HashMap<>();
-  private final Map<VmId, Long> silentUntilMillis = new HashMap<>();
+  private final HolderAccounts accounts;
+  private final ReserveConfirmations confirmations;
+  private final PendingAsks pending = new PendingAsks();
+  private final LimitPeers peers;
   private BiConsumer<VmId, Ask> sender = (owner, ask) -> {};
 
   LimitHolder(
@@ -47,27 +49,44 @@
     this.self = self;
     this.time = time;
     this.owners = owners;
-    this.memory = new RequestMemory(settings.retryWindowMillis());
+    this.verdicts = new LimitVerdicts(time, tally, settings.retryWindowMillis());
     this.tally = tally;
+    this.peers = new LimitPeers(self, settings);
     this.outbox = new AskOutbox(time, firstAskId, this::send);
+    this.accounts = new HolderAccounts(self, time, outbox);
+    this.confirmations = new ReserveConfirmations(self, time, owners, outbox);
   }
 
   void sendWith(BiConsumer<VmId, Ask> newSender) {
     this.sender = newSender;
   }
 
+  /** Puts the reserves of the table in force. */
+  void apply(LimitTable table) {
+    accounts.apply(table);
+  }
+
+  void peers(List<VmId> vms) {
+    peers.replace(vms);
+  }
+
+  /** Returns this VM's reserve of an organisation, from which peers may borrow. */
+  Optional<Reserve> reserve(OrganisationId organisation) {
+    return account(organisation).map(HolderAccount::reserve);
+  }
+
   Optional<HolderAccount> account(OrganisationId organisation) {
-    return Optional.ofNullable(accounts.get(organisation));
+    return accounts.find(organisation);
   }
 
   void acquire(OrganisationId organisation, long request, Consumer<LimitDecision> decision) {
     Waiter waiter = new Waiter(request, decision);
-    HolderAccount account = accounts.get(organisation);
+    HolderAccount account = accounts.find(organisation).orElse(null);
     long now = time.nowMillis();
     if (account == null) {
-      refuse(waiter, UNKNOWN_ORGANISATION_RETRY_MILLIS, RefusalReason.UNKNOWN_ORGANISATION);
-    } else if (memory.useRetry(request, now)) {
-      admitRetry(waiter);
+      verdicts.refuse(waiter, UNKNOWN_ORGANISATION);
+    } else if (verdicts.useRetry(request)) {
+      verdicts.admitRetry(waiter);
     } else {
       account.demand().record(now);
       acquire(account, waiter, now);
@@ -79,8 +98,8 @@
       if (account.runsLow(now)) {
         prefetch(account);
       }
-    } else if (account.useFullReserve(now)) {
-      admitFromReserve(waiter);
+    } else if (account.reserve().isOverflowing(now) && account.reserve().use(now)) {
+      verdicts.admitFromReserve(waiter);
     } else if (account.isKnownEmpty(account.partFor(waiter), now)) {
       tryNextPart(account, waiter, account.emptyForMillis(account.partFor(waiter), now));
     } else {
@@ -93,12 +112,18 @@
     Optional<VmId> owner = owners.ownerOf(part.resource());
     if (owner.isEmpty()) {
       admitOrRefuse(account, waiter, UNKNOWN_OWNER_RETRY_MILLIS, RefusalReason.OWNER_UNKNOWN);
-    } else if (isSilent(owner.get(), now) && account.useReserve(now)) {
-      admitFromReserve(waiter);
-    } else if (account.await(waiter)) {
-      outbox.want(owner.get(), account, part, delayTo(owner.get()));
+    } else if (peers.isSilent(owner.get(), now) && account.reserve().exists()) {
+      admitOrRefuse(account, waiter, LimitPeers.SILENT_MILLIS, RefusalReason.OWNER_UNREACHABLE);
+    } else {
+      await(account, waiter, part, owner.get());
+    }
+  }
+
+  private void await(HolderAccount account, Waiter waiter, LimitPart part, VmId asked) {
+    if (account.await(waiter)) {
+      outbox.want(asked, account, part, delayTo(asked));
     } else {
-      admitOrRefuse(account, waiter, SILENT_OWNER_MILLIS, RefusalReason.OWNER_UNREACHABLE);
+      admitOrGiveUp(account, waiter);
     }
   }
 
@@ -127,7 +152,7 @@
   private void send(VmId owner, PendingAsk ask) {
     tally.ask();
     if (!ask.wanted().isEmpty()) {
-      pending.put(ask.ask().askId(), ask);
+      pending.add(ask);
       if (!owner.equals(self)) {
         time.after(LimitTimes.ASK_TIMEOUT_MILLIS, () -> timeOut(ask));
       }
@@ -137,13 +162,13 @@
 
   /** Takes in an owner's answer; one that matches no ask is counted and ignored. */
   void receive(VmId from, Answer answer) {
-    PendingAsk ask = pending.get(answer.askId());
-    if (ask == null || !ask.owner().equals(from) || ask.wanted().size() != answer.grants().size()) {
+    Optional<PendingAsk> found = pending.take(from, answer);
+    if (found.isEmpty()) {
       tally.unexpected();
       return;
     }
-    pending.remove(answer.askId());
-    silentUntilMillis.remove(from);
+    peers.heard(from);
+    PendingAsk ask = found.get();
     for (int i = 0; i < ask.wanted().size(); i++) {
       receive(ask, ask.wanted().get(i), answer.grants().get(i));
     }
@@ -151,30 +176,42 @@
 
   private void receive(PendingAsk ask, PendingAsk.Wanted wanted, Grant grant) {
     HolderAccount account = wanted.account();
+    if (wanted.part().isConfirmation()) {
+      confirmations.receive(account, ask.sentMillis(), grant);
+      return;
+    }
     account.prefetching(false);
     if (!grant.owned()
         || grant.tokens() > wanted.maxTokens()
         || grant.durationMillis() > LimitTimes.PERMIT_MILLIS) {
-      wanted
-          .waiters()
-          .forEach(
-              waiter ->
-                  admitOrRefuse(
-                      account, waiter, grant.retryAfterMillis(), RefusalReason.OWNER_UNREACHABLE));
+      serveOtherwise(ask, wanted, grant.retryAfterMillis());
       return;
     }
-    account.scarce(grant.scarce());
+    if (!wanted.part().isReserve()) {
+      account.scarce(grant.scarce());
+    }
     if (grant.tokens() > 0) {
       long until = ask.sentMillis() + grant.durationMillis();
       List<Long> asked = grant.counted().isEmpty() ? wanted.requests() : List.of();
       account.add(new Permit(grant.permitId(), ask.owner(), grant.tokens(), until, asked));
     }
     if (grant.retryAfterMillis() > 0) {
-      account.knownEmptyUntil(wanted.part(), ask.sentMillis() + grant.retryAfterMillis());
+      account.emptyUntil(wanted.part(), ask.owner(), ask.sentMillis() + grant.retryAfterMillis());
     }
     decide(wanted, grant);
   }
 
+  /** Decides requests whose owner or lender has nothing to do with their organisation. */
+  private void serveOtherwise(PendingAsk ask, PendingAsk.Wanted wanted, int retryAfterMillis) {
+    HolderAccount account = wanted.account();
+    if (wanted.part().isReserve()) {
+      account.emptyUntil(wanted.part(), ask.owner(), ask.sentMillis() + retryAfterMillis);
+    }
+    for (Waiter waiter : wanted.waiters()) {
+      admitOrRefuse(account, waiter, retryAfterMillis, RefusalReason.OWNER_UNREACHABLE);
+    }
+  }
+
   private void decide(PendingAsk.Wanted wanted, Grant grant) {
     long now = time.nowMillis();
     for (int i = 0; i < wanted.waiters().size(); i++) {
@@ -183,85 +220,63 @@
         continue;
       }
       if (grant.counted().contains(i)) {
-        admitRetry(waiter);
+        verdicts.admitRetry(waiter);
       } else if (!usePermit(wanted.account(), waiter, now)) {
         long retryAfter = Math.max(1, grant.retryAfterMillis());
-        tryNextPart(wanted.account(), waiter, retryAfter);
+        if (wanted.part().isReserve()) {
+          admitOrRefuse(wanted.account(), waiter, retryAfter, RefusalReason.RATE_EXCEEDED);
+        } else {
+          tryNextPart(wanted.account(), waiter, retryAfter);
+        }
       }
     }
   }
 
   private void timeOut(PendingAsk ask) {
-    if (!pending.containsKey(ask.ask().askId())) {
+    if (!pending.isOpen(ask)) {
       return;
     }
-    silentUntilMillis.put(ask.owner(), time.nowMillis() + SILENT_OWNER_MILLIS);
+    peers.silent(ask.owner(), time.nowMillis());
     for (PendingAsk.Wanted wanted : ask.wanted()) {
       wanted.account().prefetching(false);
-      wanted
-          .waiters()
-          .forEach(
-              waiter ->
-                  admitOrRefuse(
-                      wanted.account(),
-                      waiter,
-                      SILENT_OWNER_MILLIS,
-                      RefusalReason.OWNER_UNREACHABLE));
+      wanted.waiters().forEach(waiter -> admitOrGiveUp(wanted.account(), waiter));
+    }
+  }
+
+  /** Decides a request that has waited for an answer in vain; it asks nobody else. */
+  private void admitOrGiveUp(HolderAccount account, Waiter waiter) {
+    if (waiter.isDecided()) {
+      return;
+    }
+    if (account.reserve().use(time.nowMillis())) {
+      verdicts.admitFromReserve(waiter);
+    } else {
+      verdicts.refuse(waiter, UNREACHABLE);
     }
   }
 
   /** Returns permits that end soon and forgets asks whose permits would be over. */
   void sweep() {
-    returnPermits(LimitTimes.RETURN_MARGIN_MILLIS);
-    long oldest = time.nowMillis() - LimitTimes.PERMIT_MILLIS;
-    pending.values().removeIf(ask -> ask.sentMillis() < oldest);
-    silentUntilMillis.values().removeIf(until -> until <= time.nowMillis());
+    accounts.returnPermits(LimitTimes.RETURN_MARGIN_MILLIS);
+    pending.forgetBefore(time.nowMillis() - LimitTimes.PERMIT_MILLIS);
+    peers.sweep(time.nowMillis());
+    accounts.settleReserves();
+    confirmations.sweep(accounts.all());
   }
 
   /** Returns all permits at once. */
   void release() {
-    returnPermits(Long.MAX_VALUE);
+    accounts.returnPermits(Long.MAX_VALUE);
     outbox.flushAll();
   }
 
-  /** Puts the reserves of the table in force; a new organisation's reserve starts empty. */
-  void apply(LimitTable table) {
-    long now = time.nowMillis();
-    for (OrganisationId organisation : table.organisations()) {
-      LimitShares shares = table.shares(organisation).orElseThrow();
-      HolderAccount known = accounts.get(organisation);
-      if (known == null) {
-        int home = self.hashCode() ^ organisation.hashCode();
-        accounts.put(organisation, new HolderAccount(organisation, shares, home, now));
-      } else {
-        known.change(shares, now);
-      }
-    }
-    accounts.values().removeIf(account -> isRemoved(account, table, now));
-  }
-
-  private boolean isRemoved(HolderAccount account, LimitTable table, long now) {
-    if (table.shares(account.organisation()).isPresent()) {
-      return false;
-    }
-    close(account.removeEnding(Long.MAX_VALUE, now), LimitTimes.BATCH_DELAY_MILLIS);
-    return true;
-  }
-
-  private void returnPermits(long marginMillis) {
-    long now = time.nowMillis();
-    for (HolderAccount account : accounts.values()) {
-      close(account.removeEnding(marginMillis, now), LimitTimes.BATCH_DELAY_MILLIS);
-    }
-  }
-
   private boolean usePermit(HolderAccount account, Waiter waiter, long now) {
     List<Permit> closed = new ArrayList<>(1);
     boolean used = account.usePermit(waiter.request(), now, closed);
     close(
         closed, account.isScarce() ? LimitTimes.BATCH_DELAY_MILLIS : LimitTimes.CLOSE_DELAY_MILLIS);
     if (used) {
-      admit(waiter, now);
+      verdicts.admit(waiter);
     }
     return used;
   }
@@ -270,41 +285,28 @@
     permits.forEach(permit -> outbox.close(permit.owner(), permit.close(), delayMillis));
   }
 
-  private void admit(Waiter waiter, long now) {
-    memory.remember(waiter.request(), now);
-    tally.admitted();
-    waiter.decide(new LimitDecision.Admitted(false));
-  }
-
-  private void admitRetry(Waiter waiter) {
-    tally.retry();
-    waiter.decide(new LimitDecision.Admitted(true));
-  }
-
-  private void admitFromReserve(Waiter waiter) {
-    tally.fromReserve();
-    admit(waiter, time.nowMillis());
-  }
-
   private void admitOrRefuse(
       HolderAccount account, Waiter waiter, long retryAfterMillis, RefusalReason reason) {
     if (waiter.isDecided()) {
       return;
     }
-    if (account.useReserve(time.nowMillis())) {
-      admitFromReserve(waiter);
+    long now = time.nowMillis();
+    if (account.reserve().use(now)) {
+      verdicts.admitFromReserve(waiter);
     } else {
-      refuse(waiter, retryAfterMillis, reason);
+      borrowOrRefuse(account, waiter, new LimitDecision.Refused(retryAfterMillis, reason));
     }
   }
 
-  private void refuse(Waiter waiter, long retryAfterMillis, RefusalReason reason) {
-    tally.refused();
-    waiter.decide(new LimitDecision.Refused(retryAfterMillis, reason));
-  }
-
-  private boolean isSilent(VmId owner, long now) {
-    return silentUntilMillis.getOrDefault(owner, Long.MIN_VALUE) > now;
+  private void borrowOrRefuse(HolderAccount account, Waiter waiter, LimitDecision.Refused refusal) {
+    Optional<VmId> lender = peers.lender(account, waiter, time.nowMillis());
+    if (lender.isPresent() && waiter.mayBorrow()) {
+      waiter.keep(refusal);
+      waiter.turnTo(lender.get());
+      await(account, waiter, account.partFor(waiter), lender.get());
+    } else {
+      verdicts.refuse(waiter, refusal);
+    }
   }
 
   private int delayTo(VmId owner) {
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitOwner.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitOwner.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
+import org.ragworttide.coordination.id.OrganisationId;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.message.LimitMessage.Answer;
 import org.ragworttide.coordination.message.LimitMessage.Ask;
@@ -26,15 +28,22 @@
   private final TimerService time;
   private final OwnerView owners;
   private final LimitTable table;
+  private final Function<OrganisationId, Optional<Reserve>> reserves;
   private final RequestMemory memory;
   private final Map<LimitPart, OwnerAccount> accounts = new HashMap<>();
   private final Map<Long, LimitPart> permits = new HashMap<>();
   private long nextPermitId;
 
-  LimitOwner(TimerService time, OwnerView owners, LimitTable table, long firstPermitId) {
+  LimitOwner(
+      TimerService time,
+      OwnerView owners,
+      LimitTable table,
+      Function<OrganisationId, Optional<Reserve>> reserves,
+      long firstPermitId) {
     this.time = time;
     this.owners = owners;
     this.table = table;
+    this.reserves = reserves;
     this.memory = new RequestMemory(table.settings().retryWindowMillis());
     this.nextPermitId = firstPermitId;
   }
@@ -58,10 +67,7 @@
   void applyShares() {
     long now = time.nowMillis();
     for (Map.Entry<LimitPart, OwnerAccount> entry : accounts.entrySet()) {
-      RateLimit share = table.limit(entry.getKey()).orElse(RateLimit.NOTHING);
-      if (!entry.getValue().bucket().limit().equals(share)) {
-        entry.getValue().bucket().change(share, now);
-      }
+      adjust(entry.getKey(), entry.getValue(), now);
     }
     for (LimitPart part : table.parts()) {
       if (!accounts.containsKey(part)) {
@@ -72,17 +78,34 @@
 
   /** Forgets accounts that are not needed any more and permits that are no longer open. */
   void sweep() {
-    accounts.values().forEach(account -> account.settle(time.nowMillis()));
+    long now = time.nowMillis();
+    accounts.forEach((part, account) -> adjust(part, account, now));
     accounts.entrySet().removeIf(entry -> isOver(entry.getKey(), entry.getValue()));
     permits
         .entrySet()
         .removeIf(
             permit -> {
-              OwnerAccount account = accounts.get(permit.getValue());
-              return account == null || !account.isOpen(permit.getKey());
+              Optional<OwnerAccount> account = known(permit.getValue());
+              return account.isEmpty() || !account.get().isOpen(permit.getKey());
             });
   }
 
+  /** Gives the account what no part, and no VM with more than its least reserve, can use. */
+  private void adjust(LimitPart part, OwnerAccount account, long now) {
+    account.settle(now);
+    int unconfirmed = account.confirmed().unconfirmed(table.settings().maxEntryVms(), now);
+    RateLimit share = table.limit(part, unconfirmed).orElse(RateLimit.NOTHING);
+    if (!account.bucket().limit().equals(share)) {
+      account.bucket().change(share, now);
+    }
+  }
+
+  private Optional<OwnerAccount> known(LimitPart part) {
+    return part.isReserve()
+        ? reserves.apply(part.organisation()).map(Reserve::account)
+        : Optional.ofNullable(accounts.get(part));
+  }
+
   private boolean isOver(LimitPart part, OwnerAccount account) {
     Optional<Ownership> ownership = owners.ownership(part.resource());
     return ownership.isEmpty()
@@ -92,6 +115,9 @@
 
   /** Returns the account of a part that this VM owns now. */
   Optional<OwnerAccount> account(LimitPart part) {
+    if (part.isReserve()) {
+      return reserves.apply(part.organisation()).map(Reserve::account);
+    }
     Optional<RateLimit> limit = table.limit(part);
     Optional<Ownership> ownership = owners.ownership(part.resource());
     if (limit.isEmpty()
@@ -142,18 +168,37 @@
     }
   }
 
+  /** Leaves the full reserve to a VM; this part shrinks before the VM hears of it. */
+  private Grant confirm(VmId holder, OrganisationId organisation) {
+    LimitPart part = new LimitPart(organisation, 0);
+    Optional<OwnerAccount> found = account(part);
+    if (found.isEmpty()) {
+      return Grant.notOwned(NOT_OWNED_RETRY_MILLIS);
+    }
+    long now = time.nowMillis();
+    TokenBucket bucket = found.get().bucket();
+    adjust(part, found.get(), now);
+    final long before = bucket.levelNanos();
+    found.get().confirmed().add(holder, now);
+    adjust(part, found.get(), now);
+    int moved = (int) ((before - bucket.levelNanos()) / RateLimit.NANOS_PER_TOKEN);
+    int wait = bucket.isOverdrawn() ? (int) ClockRate.stretched(LimitTimes.PERMIT_MILLIS) : 0;
+    return new Grant(true, 0, moved, LimitTimes.CONFIRMED_MILLIS, false, wait, List.of());
+  }
+
   private Grant grant(VmId holder, Want want) {
     LimitPart part = new LimitPart(want.organisation(), want.part());
+    if (part.isConfirmation()) {
+      return confirm(holder, want.organisation());
+    }
     Optional<OwnerAccount> found = account(part);
     if (found.isEmpty()) {
       return Grant.notOwned(NOT_OWNED_RETRY_MILLIS);
     }
-    long until = owners.ownership(part.resource()).orElseThrow().untilMillis();
-    long remaining = ClockRate.shortened(until - time.nowMillis());
-    if (remaining < LimitTimes.MIN_PERMIT_MILLIS) {
+    long duration = Math.min(LimitTimes.PERMIT_MILLIS, remainingMillis(part));
+    if (duration < LimitTimes.MIN_PERMIT_MILLIS) {
       return Grant.notOwned(NOT_OWNED_RETRY_MILLIS);
     }
-    long duration = Math.min(LimitTimes.PERMIT_MILLIS, remaining);
     return grant(new Lender(holder, part, found.get()), want, (int) duration);
   }
 
@@ -167,7 +212,7 @@
     long until = now + ClockRate.stretched(durationMillis);
     List<Long> asked = counted.isEmpty() ? want.requests() : List.of();
     int granted = account.open(nextPermitId, lender.holder, waiting + spare, until, asked);
-    int retryAfter = granted < waiting ? retryAfter(account, now) : 0;
+    int retryAfter = granted < waiting ? retryAfter(lender, now) : 0;
     boolean scarce = account.bucket().isScarce();
     if (granted == 0) {
       return new Grant(true, 0, 0, 0, scarce, retryAfter, counted);
@@ -176,6 +221,18 @@
     return new Grant(true, nextPermitId++, granted, durationMillis, scarce, retryAfter, counted);
   }
 
+  /** Returns how long permits of a part may be used; no lease limits those of a reserve. */
+  private long remainingMillis(LimitPart part) {
+    if (part.isReserve()) {
+      return reserves
+          .apply(part.organisation())
+          .map(reserve -> reserve.lendableMillis(time.nowMillis()))
+          .orElse(0L);
+    }
+    long until = owners.ownership(part.resource()).orElseThrow().untilMillis();
+    return ClockRate.shortened(until - time.nowMillis());
+  }
+
   private List<Integer> counted(List<Long> requests, long now) {
     List<Integer> positions = new ArrayList<>(0);
     for (int i = 0; i < requests.size(); i++) {
@@ -186,10 +243,11 @@
     return positions;
   }
 
-  private static int retryAfter(OwnerAccount account, long now) {
-    long refill = account.bucket().millisUntilToken();
-    long expiry = Math.max(1, account.nextExpiryMillis(now + refill) - now);
-    return (int) Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(1, Math.min(refill, expiry)));
+  private static int retryAfter(Lender lender, long now) {
+    long refill = lender.account.bucket().millisUntilToken();
+    long expiry = Math.max(1, lender.account.nextExpiryMillis(now + refill) - now);
+    long least = lender.part.isReserve() ? LimitTimes.MIN_LENDER_RETRY_MILLIS : 1;
+    return (int) Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(least, Math.min(refill, expiry)));
   }
 
   private record Lender(VmId holder, LimitPart part, OwnerAccount account) {}
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitTable.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitTable.java
@@ -31,11 +31,16 @@
     return Optional.ofNullable(shares.get(organisation));
   }
 
-  /** Returns the limit of a part, if the organisation has such a part. */
+  /** Returns the limit of a part when every VM has its reserve, if there is such a part. */
   Optional<RateLimit> limit(LimitPart part) {
+    return limit(part, 0);
+  }
+
+  /** Returns the limit of a part when the given number of VMs have the least reserve. */
+  Optional<RateLimit> limit(LimitPart part, int unconfirmedVms) {
     return shares(part.organisation())
         .filter(split -> part.index() < split.parts())
-        .map(LimitShares::part);
+        .map(split -> split.partWithout(unconfirmedVms));
   }
 
   /** Returns the parts of all organisations. */
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/Limits.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/Limits.java
@@ -1,5 +1,6 @@
 package org.ragworttide.coordination.limits;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -54,8 +55,8 @@
     this.table = new LimitTable(settings);
     long firstPermitId = 1 + (incarnation.value() & FIRST_PERMIT_MASK);
     long firstAskId = 1 + (incarnation.value() & FIRST_ASK_MASK);
-    this.owner = new LimitOwner(time, owners, table, firstPermitId);
     this.holder = new LimitHolder(self, time, owners, settings, tally, firstAskId);
+    this.owner = new LimitOwner(time, owners, table, holder::reserve, firstPermitId);
     holder.sendWith(this::send);
     time.every(LimitTimes.SWEEP_PERIOD_MILLIS, this::sweep);
   }
@@ -75,6 +76,11 @@
     holder.apply(table);
   }
 
+  @Override
+  public void peers(List<VmId> vms) {
+    holder.peers(vms);
+  }
+
   @Override
   public void receive(VmId from, LimitMessage message) {
     switch (message) {
@@ -108,7 +114,10 @@
 
   @Override
   public long reservedTokens(OrganisationId organisation) {
-    return holder.account(organisation).map(account -> account.reserve().wholeTokens()).orElse(0L);
+    return holder
+        .account(organisation)
+        .map(account -> account.reserve().bucket().wholeTokens())
+        .orElse(0L);
   }
 
   @Override
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/OwnerAccount.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/OwnerAccount.java
@@ -18,6 +18,7 @@
 final class OwnerAccount {
   private final long sinceMillis;
   private final TokenBucket bucket;
+  private final ConfirmedVms confirmed;
   private final Map<Long, OpenPermit> open = new HashMap<>();
   private final PriorityQueue<OpenPermit> byExpiry = new PriorityQueue<>();
 
@@ -31,12 +32,17 @@
   OwnerAccount(RateLimit share, long sinceMillis, long emptyAtMillis) {
     this.sinceMillis = sinceMillis;
     this.bucket = new TokenBucket(share, emptyAtMillis);
+    this.confirmed = new ConfirmedVms(emptyAtMillis);
   }
 
   boolean belongsTo(Ownership ownership) {
     return ownership.sinceMillis() == sinceMillis;
   }
 
+  ConfirmedVms confirmed() {
+    return confirmed;
+  }
+
   TokenBucket bucket() {
     return bucket;
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/TokenBucket.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/TokenBucket.java
@@ -72,6 +72,16 @@
     levelNanos += Math.min(room, tokens * RateLimit.NANOS_PER_TOKEN);
   }
 
+  /** Takes over tokens that another bucket has lost; the burst counts from the next change on. */
+  void deposit(int tokens) {
+    levelNanos += tokens * RateLimit.NANOS_PER_TOKEN;
+  }
+
+  /** Returns whether outstanding tokens alone exceed the burst. */
+  boolean isOverdrawn() {
+    return outstandingNanos > limit.burstNanos();
+  }
+
   /** Returns the whole tokens in the bucket. */
   long wholeTokens() {
     return Math.max(0, levelNanos) / RateLimit.NANOS_PER_TOKEN;
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitFleet.java
@@ -64,6 +64,7 @@
       vms.add(new VmId("vm-" + i));
       start(vms.getLast());
     }
+    limits.values().forEach(each -> each.peers(vms));
   }
 
   /** Starts or restarts a VM's process with an empty state. */
@@ -84,6 +85,7 @@
     clocks.put(vm, clock);
     limits.put(vm, new Limits(vm, incarnation, clock, tapped, owners.view(vm, clock), settings));
     limits.get(vm).apply(table);
+    limits.get(vm).peers(vms);
   }
 
   /** Puts limits in force on all VMs at once. */
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/LimitOwnerTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/LimitOwnerTest.java
@@ -33,7 +33,7 @@
     untilMillis = Long.MAX_VALUE / 2;
     LimitTable table = new LimitTable(new LimitSettings(3, 0, 60_000));
     table.replace(Map.of(HOTEL, new RateLimit(1, 4)));
-    owner = new LimitOwner(time, new OwnHold(), table, 1);
+    owner = new LimitOwner(time, new OwnHold(), table, id -> Optional.empty(), 1);
     time.advance(FULL_AFTER_MILLIS);
   }
 
