Keep the sums behind the mean load up to date instead of walking

Cause: each decision walked all engines' objects for six sums and weighed each through its object. LoadTotals now takes each report and each own start and end, and walks again only when a share or the set of fresh reports changes; a decision passes once over an array of hashes and keeps the heaviest. Ruled out: marking the sums outdated at each report, which would walk at each decision again at the target size.

--- a/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
@@ -2,42 +2,46 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import org.ragworttide.coordination.hash.Rendezvous;
+import org.ragworttide.coordination.id.UpstreamId;
 
 /**
  * The upstreams of one model with what a single decision computes over them.
  *
  * <p>Invariant: the order of two candidates for a chat is the same on every daemon and does not
- * depend on the other candidates. The scratch arrays belong to the decision in progress. Confined
- * to the coordination thread.
+ * depend on the other candidates. The weights belong to the decision in progress. Confined to the
+ * coordination thread.
  */
 final class CandidateSet {
-  private static final double MIN_SHARE = 0.02;
   private static final double UNSEEN_REQUESTS = 1;
   private static final long VISITED = Long.MIN_VALUE;
+  private static final int NONE = -1;
 
   private final UpstreamTracker[] trackers;
+  private final long[] hashes;
+  private final boolean[] opens;
   private final long[] weights;
-  private final double[] shares;
+  private final LoadTotals totals;
   private final RouterSettings settings;
-  private int open;
+  private int heaviest;
   private int eligible;
-  private double maxShare;
   private double meanLoad;
-  private double meanOwn;
   private double scale;
   private long now;
   private int daemons = 1;
 
   CandidateSet(List<UpstreamTracker> trackers, RouterSettings settings) {
     this.trackers = trackers.toArray(UpstreamTracker[]::new);
-    this.weights = new long[this.trackers.length];
-    this.shares = new double[this.trackers.length];
+    this.hashes = trackers.stream().mapToLong(tracker -> tracker.hash).toArray();
+    this.opens = new boolean[hashes.length];
+    this.weights = new long[hashes.length];
+    this.totals = new LoadTotals(this.trackers, settings.reportStaleMillis());
     this.settings = settings;
   }
 
   int open() {
-    return open;
+    return totals.open();
   }
 
   int eligible() {
@@ -52,50 +56,56 @@
     return meanLoad;
   }
 
+  double meanOwn() {
+    return totals.meanOwn();
+  }
+
   /** Starts a decision: weighs the candidates and works out the mean load. */
   void begin(long key, RouteRequest request, FleetShare fleet, long nowMillis) {
     now = nowMillis;
     daemons = fleet.daemons();
-    open = 0;
+    if (totals.bringUpTo(nowMillis)) {
+      for (int i = 0; i < trackers.length; i++) {
+        opens[i] = trackers[i].isOpen();
+      }
+    }
+    weigh(key, request.tried());
+    scale = totals.scale(fleet);
+    meanLoad = totals.meanLoad(scale);
+  }
+
+  private void weigh(long key, Set<UpstreamId> tried) {
+    final boolean firstTry = tried.isEmpty();
     eligible = 0;
-    maxShare = MIN_SHARE;
-    final boolean firstTry = request.tried().isEmpty();
-    long reported = 0;
-    long unreported = 0;
-    long own = 0;
-    double freshShares = 0;
-    int fresh = 0;
-    for (int i = 0; i < trackers.length; i++) {
-      UpstreamTracker tracker = trackers[i];
-      weights[i] = VISITED;
-      shares[i] = 0;
-      if (!tracker.isOpen()) {
+    heaviest = NONE;
+    long heaviestWeight = VISITED;
+    for (int i = 0; i < hashes.length; i++) {
+      if (!opens[i] || !(firstTry || !tried.contains(trackers[i].spec().id()))) {
+        weights[i] = VISITED;
         continue;
       }
-      open++;
-      own += tracker.inFlight();
-      double share = Math.max(MIN_SHARE, tracker.share(nowMillis));
-      shares[i] = share;
-      maxShare = Math.max(maxShare, share);
-      if (tracker.isFresh(nowMillis, settings.reportStaleMillis())) {
-        fresh++;
-        freshShares += share;
-        reported += tracker.reported();
-        unreported += tracker.unreported();
-      }
-      if (firstTry || !request.tried().contains(tracker.spec().id())) {
-        eligible++;
-        weights[i] = Math.max(VISITED + 1, Rendezvous.weight(key, tracker.hash));
+      eligible++;
+      long weight = Math.max(VISITED + 1, Rendezvous.weight(key, hashes[i]));
+      weights[i] = weight;
+      if (weight > heaviestWeight) {
+        heaviestWeight = weight;
+        heaviest = i;
       }
     }
-    scale = fresh == 0 ? 1 : fleet.scale((double) unreported / fresh);
-    meanLoad = fresh == 0 ? 0 : (reported + scale * unreported + 1) * maxShare / freshShares;
-    meanOwn = open == 0 ? 0 : (own + 1.0) / open;
   }
 
   /** Returns the next candidate in the chat's order and takes it out, or -1. */
   int next() {
-    int best = -1;
+    int best = heaviest == NONE ? heaviestLeft() : heaviest;
+    heaviest = NONE;
+    if (best != NONE) {
+      weights[best] = VISITED;
+    }
+    return best;
+  }
+
+  private int heaviestLeft() {
+    int best = NONE;
     long bestWeight = VISITED;
     for (int i = 0; i < weights.length; i++) {
       if (weights[i] > bestWeight) {
@@ -103,9 +113,6 @@
         best = i;
       }
     }
-    if (best >= 0) {
-      weights[best] = VISITED;
-    }
     return best;
   }
 
@@ -113,12 +120,12 @@
    * Returns the index of a hinted upstream if it stands early enough in the chat's order, or -1.
    */
   int hinted(long upstreamHash) {
-    for (int i = 0; i < trackers.length; i++) {
-      if (trackers[i].hash == upstreamHash && weights[i] != VISITED) {
-        return rank(i) < settings.walkLength() ? i : -1;
+    for (int i = 0; i < hashes.length; i++) {
+      if (hashes[i] == upstreamHash && weights[i] != VISITED) {
+        return rank(i) < settings.walkLength() ? i : NONE;
       }
     }
-    return -1;
+    return NONE;
   }
 
   private int rank(int index) {
@@ -134,13 +141,13 @@
   /** Tells whether the candidate takes the chat under its bound. */
   boolean accepts(int index, long key, FleetShare fleet) {
     UpstreamTracker tracker = trackers[index];
-    double share = shares[index] / maxShare;
+    double share = share(index) / totals.maxShare();
     double threshold = chatThreshold(key, tracker.hash);
     if (threshold >= share || !hasRoom(index)) {
       return false;
     }
     if (!isFresh(tracker)) {
-      double bound = settings.loadMultiple() * share * meanOwn;
+      double bound = settings.loadMultiple() * share * meanOwn();
       return tracker.inFlight() + 1 <= Math.floor(bound + fleet.roundingOffset(tracker.hash));
     }
     double bound = settings.loadMultiple() * share * meanLoad;
@@ -152,7 +159,7 @@
 
   /** Tells whether the candidate is below the load at which it begins to shed chats. */
   boolean isBelowSoftBound(int index) {
-    double share = shares[index] / maxShare;
+    double share = share(index) / totals.maxShare();
     return trackers[index].estimate(scale, now) <= settings.softMultiple() * share * meanLoad;
   }
 
@@ -166,6 +173,10 @@
     return tracker.inFlight() + 1 <= Math.ceilDiv(limit, daemons);
   }
 
+  private double share(int index) {
+    return Math.max(LoadTotals.MIN_SHARE, trackers[index].share(now));
+  }
+
   private boolean isFresh(UpstreamTracker tracker) {
     return tracker.isFresh(now, settings.reportStaleMillis());
   }
@@ -189,7 +200,7 @@
   }
 
   private long loadKey(int index, long key) {
-    double load = (comparableLoad(trackers[index]) + 1) / shares[index];
+    double load = (comparableLoad(trackers[index]) + 1) / share(index);
     long tieBreak = Rendezvous.weight(trackers[index].hash, key) & 0xffff;
     return ((long) Math.min(load, 1e8) << 32) | (tieBreak << 16) | index;
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingState.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingState.java
@@ -71,6 +71,7 @@
   void upstreams(List<UpstreamSpec> specs, long nowMillis) {
     final boolean first = trackers.isEmpty();
     Map<UpstreamId, UpstreamTracker> old = trackers;
+    old.values().forEach(UpstreamTracker::leaveTotals);
     trackers = new LinkedHashMap<>();
     for (UpstreamSpec spec : specs) {
       UpstreamTracker tracker = old.getOrDefault(spec.id(), new UpstreamTracker(spec));
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamTracker.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamTracker.java
@@ -1,12 +1,14 @@
 package org.ragworttide.coordination.routing;
 
+import java.util.Arrays;
 import org.ragworttide.coordination.hash.Rendezvous;
 
 /**
  * Keeps what a daemon knows of one upstream: the last report and its own requests in flight.
  *
  * <p>Invariant: the slots form a list from the oldest to the newest, and {@code unreported} counts
- * those that started after the last report was measured. Confined to the coordination thread.
+ * those that started after the last report was measured; every total that counts the upstream is
+ * told of each change. Confined to the coordination thread.
  */
 final class UpstreamTracker {
   static final long NEVER = Long.MIN_VALUE;
@@ -25,12 +27,24 @@
   private int inFlight;
   private int unreported;
   private Slot newest;
+  private LoadTotals[] totals = {};
 
   UpstreamTracker(UpstreamSpec spec) {
     this.spec = spec;
     this.hash = Rendezvous.hash(spec.id().value());
   }
 
+  /** Tells a total of every change from now on. */
+  void countIn(LoadTotals total) {
+    totals = Arrays.copyOf(totals, totals.length + 1);
+    totals[totals.length - 1] = total;
+  }
+
+  /** Tells no total any more. */
+  void leaveTotals() {
+    totals = new LoadTotals[0];
+  }
+
   UpstreamSpec spec() {
     return spec;
   }
@@ -47,18 +61,25 @@
     } else if (!nowOpen && open) {
       closedAtMillis = nowMillis;
     }
-    open = nowOpen;
+    if (nowOpen != open) {
+      open = nowOpen;
+      outdateTotals();
+    }
   }
 
   /** Begins to ramp up from nothing over the given time. */
   void ramp(long nowMillis, long millis) {
     rampStartMillis = nowMillis;
     rampMillis = Math.max(1, millis);
+    outdateTotals();
   }
 
   /** Ends the ramp at once. */
   void endRamp() {
-    rampStartMillis = NEVER;
+    if (rampStartMillis != NEVER) {
+      rampStartMillis = NEVER;
+      outdateTotals();
+    }
   }
 
   boolean isOpen() {
@@ -86,12 +107,20 @@
     boolean known = measuredAtMillis != NEVER && !restarted;
     boolean surges = known && load - reported > Math.sqrt(reported + 1.0);
     growthPerMilli = surges ? (double) (load - reported) / elapsed : 0;
+    final long lastMeasuredAtMillis = measuredAtMillis;
+    final long lastReported = reported;
+    final long lastUnreported = unreported;
     measuredAtMillis = report.measuredAtMillis();
     reported = load;
     unreported = 0;
     for (Slot s = newest; s != null && s.startedAtMillis > measuredAtMillis; s = s.older) {
       unreported++;
     }
+    if (open) {
+      for (LoadTotals total : totals) {
+        total.addReport(lastMeasuredAtMillis, reported - lastReported, unreported - lastUnreported);
+      }
+    }
     return restarted;
   }
 
@@ -139,10 +168,7 @@
       newest.newer = slot;
     }
     newest = slot;
-    inFlight++;
-    if (slot.startedAtMillis > measuredAtMillis) {
-      unreported++;
-    }
+    count(slot, 1);
   }
 
   void remove(Slot slot) {
@@ -154,9 +180,23 @@
     if (slot.older != null) {
       slot.older.newer = slot.newer;
     }
-    inFlight--;
-    if (slot.startedAtMillis > measuredAtMillis) {
-      unreported--;
+    count(slot, -1);
+  }
+
+  private void count(Slot slot, int change) {
+    int started = slot.startedAtMillis > measuredAtMillis ? change : 0;
+    inFlight += change;
+    unreported += started;
+    if (open) {
+      for (LoadTotals total : totals) {
+        total.addOwn(this, change, started);
+      }
+    }
+  }
+
+  private void outdateTotals() {
+    for (LoadTotals total : totals) {
+      total.outdate();
     }
   }
 }
