Share the time of a hold among all requests that it held up

`bin/bench path` (16 chats at once through one of three daemons, each with 60 s) had 1,059 of 3,750 chats refused with 504 deadline-passed, outcome not run, and 41 of 2,000 concurrent streams. Cause: DispatchRate took the whole of a hold as the time of one request and weighed each of the others that were sent on at once at 2 %. While a new fleet waits for its first leases the queue is held for ten seconds, so six waiting requests were said to need a minute, and were refused at once; refusals do not better the estimate. Ruled out: the deadline (60 s, the expected answer took 20 ms) and the bound of the queue.

Now the time held and the requests sent on are both summed, fading over the window, and the estimate is their quotient. Weighed: a cap on one hold (any cap is wrong for some upstream), and no estimate before several holds (queues that are held for the first time would refuse nothing).

FairQueueTest.longHoldBeforeBurstDoesNotCountForEachRequestOfTheBurst failed before: more than 1,000 ms estimated for the next of eight that were sent on together after 8 s.

--- a/coordination/src/main/java/org/ragworttide/coordination/queueing/DispatchRate.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/queueing/DispatchRate.java
@@ -4,14 +4,16 @@
  * Measures how fast a queue that holds work back sends requests on.
  *
  * <p>Invariant: only time in which work was held back counts, since an empty queue says nothing
- * about what the upstreams can take. Confined to the coordination thread.
+ * about what the upstreams can take, and that time is shared by all requests sent on after it; both
+ * fade over the window. Confined to the coordination thread.
  */
 final class DispatchRate {
   private final long windowMillis;
   private boolean held;
   private long lastMillis;
-  private double millisPerRequest;
-  private long pendingMillis;
+  private double heldMillis;
+  private double requests;
+  private double pendingMillis;
 
   DispatchRate(long windowMillis) {
     this.windowMillis = windowMillis;
@@ -33,9 +35,9 @@
     }
     pendingMillis += nowMillis - lastMillis;
     lastMillis = nowMillis;
-    double weight = Math.min(0.5, Math.max(pendingMillis, 1.0) / windowMillis + 0.02);
-    boolean first = millisPerRequest == 0;
-    millisPerRequest = first ? pendingMillis : mix(weight);
+    double kept = Math.exp(-pendingMillis / windowMillis);
+    heldMillis = heldMillis * kept + pendingMillis;
+    requests = requests * kept + 1;
     pendingMillis = 0;
   }
 
@@ -46,11 +48,7 @@
   }
 
   /** Returns how long it takes to send so many requests on. */
-  long millisFor(long requests) {
-    return (long) (requests * millisPerRequest);
-  }
-
-  private double mix(double weight) {
-    return millisPerRequest + weight * (pendingMillis - millisPerRequest);
+  long millisFor(long count) {
+    return requests == 0 ? 0 : (long) (count * heldMillis / requests);
   }
 }
--- a/coordination/src/test/java/org/ragworttide/coordination/queueing/FairQueueTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/queueing/FairQueueTest.java
@@ -180,4 +180,18 @@
       assertTrue(share > 0.98, id + " served " + share + " seed " + seed);
     }
   }
+
+  @Test
+  public void longHoldBeforeBurstDoesNotCountForEachRequestOfTheBurst() {
+    for (int i = 0; i < 8; i++) {
+      queue.offer(work(LOUD, FAR, 0), i);
+    }
+    queue.dispatch(entry -> false);
+    time.advance(8_000);
+    queue.dispatch(entry -> false);
+    takeAll();
+    queue.offer(work(LOUD, FAR, 0), 8);
+    assertTrue(queue.estimatedWaitMillis(QUIET, 1) <= 1_000);
+    assertTrue(queue.estimatedWaitMillis(LOUD, 1) <= 1_000);
+  }
 }
