Let losing candidates for a lease wait longer after each failure

Cause: while one VM owned a shard by three of five votes, the two voters of the minority took turns as candidates for ever: each gave its votes back after a quarter of a lease and voted for the other at once, so the owner's renewal, every half lease, never found them free. They and whoever asked them named a losing candidate as the owner, and asks for a limit's tokens at these daemons were answered "not owned" (OWNER_UNREACHABLE) for 75 s and more of a healthy network. The safety of the lease was not touched; the service of limits and cold permits was.

Ruled out: a limit used up (3 tokens lay at the owner), a paused or cut VM (all resumed and healed).

Now the wait doubles with each failure up to one lease and is forgotten after two leases without one.

--- a/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/Campaign.java
@@ -24,6 +24,8 @@
 final class Campaign {
   private static final String NO_KEY = "";
 
+  private static final int MAX_DOUBLINGS = 8;
+
   private final VmId self;
   private final TimerService timers;
   private final LeaseSettings settings;
@@ -37,6 +39,7 @@
   private final Map<Integer, Retired> retired = new TreeMap<>();
   private final Map<Integer, Long> campaigningSinceMillis = new HashMap<>();
   private final Map<Integer, Long> campaignNotBeforeMillis = new HashMap<>();
+  private final Map<Integer, Failures> failures = new HashMap<>();
   private boolean stopped;
 
   Campaign(
@@ -93,7 +96,7 @@
       return false;
     }
     long notBefore =
-        campaignNotBeforeMillis.computeIfAbsent(shard, any -> now + backoffMillis(rank));
+        campaignNotBeforeMillis.computeIfAbsent(shard, any -> now + waitMillis(shard, rank, now));
     if (now < notBefore || campaigningSinceMillis.containsKey(shard)) {
       return false;
     }
@@ -105,6 +108,19 @@
     return rank * settings.tickMillis();
   }
 
+  /**
+   * Returns how long a candidate waits; after failures long enough for an owner's renewal to find
+   * the voters free, which else go on to be told of losing candidates.
+   */
+  private long waitMillis(int shard, int rank, long now) {
+    Failures failed = failures.get(shard);
+    if (failed == null || now - failed.lastMillis >= 2 * settings.leaseMillis()) {
+      return backoffMillis(rank);
+    }
+    long doubled = backoffMillis(1 + 2 * rank) << Math.min(failed.count - 1, MAX_DOUBLINGS);
+    return Math.min(settings.leaseMillis(), doubled);
+  }
+
   private void giveUpFailedCampaigns(GroupSelection groups, long now) {
     List<Integer> failed =
         campaigningSinceMillis.entrySet().stream()
@@ -113,7 +129,8 @@
             .toList();
     for (int shard : failed) {
       int rank = Math.max(0, groups.group(new Shard(shard)).indexOf(self));
-      campaignNotBeforeMillis.put(shard, now + backoffMillis(1 + 2 * rank));
+      failures.merge(shard, new Failures(1, now), (old, one) -> old.again(now, settings));
+      campaignNotBeforeMillis.put(shard, now + waitMillis(shard, rank, now));
     }
     giveBack(groups, failed);
   }
@@ -159,6 +176,7 @@
       expiresAtMillis.merge(shard, expires, Math::max);
       campaigningSinceMillis.remove(shard);
       campaignNotBeforeMillis.remove(shard);
+      failures.remove(shard);
     }
   }
 
@@ -235,4 +253,13 @@
 
   /** A lease that was given up; no round counts for it before its votes are given back. */
   private record Retired(long unusedFromMillis, long expiresAtMillis) {}
+
+  /** Campaigns that failed shortly one after another. */
+  private record Failures(int count, long lastMillis) {
+
+    Failures again(long now, LeaseSettings settings) {
+      boolean soon = now - lastMillis < 2 * settings.leaseMillis();
+      return new Failures(soon ? count + 1 : 1, now);
+    }
+  }
 }
