Order engines to load models and adapters and to change role

A section `orders` of the configuration states for an engine role, models and adapters with versions, and whether the engine checks fencing numbers, and the weight store's rate. An order is the whole wanted state as of a configuration version, which is its fencing number. The daemon with the lease of the engine's name compares the engine's published report with it and sends the order until it fits; each artifact that may be fetched takes a token of a fleet-wide limit.

--- a/coordination/src/main/java/org/ragworttide/coordination/Coordinator.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/Coordinator.java
@@ -28,6 +28,7 @@
 import org.ragworttide.coordination.message.QuarantineMessage;
 import org.ragworttide.coordination.message.Transport;
 import org.ragworttide.coordination.message.VersionMessage;
+import org.ragworttide.coordination.orders.Orders;
 import org.ragworttide.coordination.quarantine.Quarantine;
 import org.ragworttide.coordination.quarantine.QuarantineCommands;
 import org.ragworttide.coordination.quarantine.QuarantineQueries;
@@ -233,6 +234,11 @@
     return configured().cold().view();
   }
 
+  /** Returns the orders to engines; only once configured. */
+  public Orders orders() {
+    return configured().orders();
+  }
+
   /** Notes that an upstream began to answer a request; called before its slot is released. */
   public void answered(UpstreamId upstream, long firstTokenMillis) {
     configured().cold().answered(upstream, firstTokenMillis);
--- a/coordination/src/main/java/org/ragworttide/coordination/FleetPolicy.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/FleetPolicy.java
@@ -2,10 +2,12 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import org.ragworttide.coordination.id.OrganisationId;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.limits.RateLimit;
+import org.ragworttide.coordination.orders.OrderPolicy;
 import org.ragworttide.coordination.routing.UpstreamSpec;
 import org.ragworttide.coordination.routing.ZoneState;
 
@@ -18,12 +20,14 @@
  * @param coldLimits most requests at once, fleet-wide, to an upstream that is cold
  * @param upstreams where requests may go
  * @param zones which availability zones take new work
+ * @param orders what engines are ordered to be
  */
 public record FleetPolicy(
     Map<OrganisationId, RateLimit> rates,
     Map<UpstreamId, Integer> coldLimits,
     List<UpstreamSpec> upstreams,
-    Map<ZoneId, ZoneState> zones) {
+    Map<ZoneId, ZoneState> zones,
+    OrderPolicy orders) {
 
   /** Copies the collections. */
   public FleetPolicy {
@@ -31,5 +35,15 @@
     coldLimits = Map.copyOf(coldLimits);
     upstreams = List.copyOf(upstreams);
     zones = Map.copyOf(zones);
+    Objects.requireNonNull(orders, "orders");
+  }
+
+  /** Lays down nothing for orders to engines. */
+  public FleetPolicy(
+      Map<OrganisationId, RateLimit> rates,
+      Map<UpstreamId, Integer> coldLimits,
+      List<UpstreamSpec> upstreams,
+      Map<ZoneId, ZoneState> zones) {
+    this(rates, coldLimits, upstreams, zones, OrderPolicy.NONE);
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/SharedRights.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/SharedRights.java
@@ -16,6 +16,7 @@
 import org.ragworttide.coordination.membership.VmList;
 import org.ragworttide.coordination.message.GroupMessage;
 import org.ragworttide.coordination.message.Transport;
+import org.ragworttide.coordination.orders.Orders;
 import org.ragworttide.coordination.time.TimerService;
 
 /**
@@ -31,6 +32,7 @@
   private final ClaimManager claims;
   private final Limits limits;
   private final ColdAdmission cold;
+  private final EngineOrders engineOrders;
 
   SharedRights(
       VmId self,
@@ -51,6 +53,7 @@
     this.cold =
         new ColdAdmission(
             self, time, owners, transport, AdmissionSettings.DEFAULTS, incarnation.value());
+    this.engineOrders = new EngineOrders(incarnation, time, leases, limits);
   }
 
   LeaseManager leases() {
@@ -69,6 +72,10 @@
     return cold;
   }
 
+  Orders orders() {
+    return engineOrders.orders();
+  }
+
   Optional<VmId> ownerOf(String resource) {
     return owners.ownerOf(resource);
   }
@@ -84,8 +91,9 @@
   }
 
   void apply(FleetPolicy policy) {
-    limits.apply(policy.rates());
+    limits.apply(EngineOrders.rates(policy));
     cold.coldLimits(policy.coldLimits());
+    engineOrders.orders().apply(policy.orders());
   }
 
   void stop() {
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/orders/OrderPort.java
@@ -0,0 +1,16 @@
+package org.ragworttide.coordination.orders;
+
+import java.util.function.Consumer;
+
+/**
+ * Carries orders to engines.
+ *
+ * <p>Invariant: the result is told on the coordination thread, at most once. Called on the
+ * coordination thread only.
+ */
+@FunctionalInterface
+public interface OrderPort {
+
+  /** Sends the order once. */
+  void send(EngineOrder order, Consumer<OrderResult> result);
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/orders/Orders.java
@@ -0,0 +1,161 @@
+package org.ragworttide.coordination.orders;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.limits.LimitDecision;
+import org.ragworttide.coordination.time.TimerService;
+
+/**
+ * Compares engines with what the configuration wants and orders those that differ, again and again
+ * until they fit.
+ *
+ * <p>Invariants: no order is sent but for an engine that the configuration in force names, with the
+ * version in force as its fencing number; none after the engine is known to have taken a higher
+ * number; each artifact that an order lets an engine fetch has used a permit of its own. Confined
+ * to the coordination thread.
+ */
+public final class Orders implements OrderCommands, OrderQueries {
+  private static final long MAX_NUMBER = 1L << 53;
+
+  private final TimerService time;
+  private final OrderOwners owners;
+  private final FetchPermits permits;
+  private final OrderSettings settings;
+  private final String requestPrefix;
+  private final SortedMap<UpstreamId, EngineControl> engines = new TreeMap<>();
+  private OrderPolicy policy = OrderPolicy.NONE;
+  private Optional<OrderPort> port = Optional.empty();
+  private long nextRequest;
+  private long ignoredReports;
+
+  /**
+   * Creates the orders of one daemon, without any engine.
+   *
+   * @param time the timer service
+   * @param owners tells which engines this daemon is to order
+   * @param permits the weight store's limit
+   * @param settings durations
+   * @param requestPrefix begins the names of fetches, different for each run of a process
+   */
+  public Orders(
+      TimerService time,
+      OrderOwners owners,
+      FetchPermits permits,
+      OrderSettings settings,
+      String requestPrefix) {
+    this.time = time;
+    this.owners = owners;
+    this.permits = permits;
+    this.settings = settings;
+    this.requestPrefix = requestPrefix;
+    time.every(settings.tickMillis(), this::tick);
+  }
+
+  @Override
+  public void apply(OrderPolicy next) {
+    if (next.version() < policy.version()) {
+      return;
+    }
+    boolean unbroken = next.version() <= policy.version() + 1;
+    policy = next;
+    engines.keySet().retainAll(next.goals().keySet());
+    next.goals()
+        .forEach(
+            (engine, goal) ->
+                engines
+                    .computeIfAbsent(engine, id -> new EngineControl(id, settings))
+                    .goal(goal, next.version(), unbroken));
+  }
+
+  @Override
+  public void report(EngineReport report) {
+    EngineControl engine = engines.get(report.engine());
+    if (engine == null) {
+      return;
+    }
+    if (isAbsurd(report) || !engine.report(report)) {
+      ignoredReports++;
+    }
+  }
+
+  @Override
+  public void sendWith(OrderPort newPort) {
+    port = Optional.of(newPort);
+  }
+
+  @Override
+  public List<PendingOrder> pending() {
+    return engines.values().stream()
+        .filter(engine -> !engine.isAsWanted())
+        .map(engine -> engine.pending(policy.version(), time.nowMillis()))
+        .toList();
+  }
+
+  @Override
+  public Optional<EngineState> reported(UpstreamId engine) {
+    return Optional.ofNullable(engines.get(engine)).flatMap(EngineControl::lastReported);
+  }
+
+  @Override
+  public long ignoredReports() {
+    return ignoredReports;
+  }
+
+  private void tick() {
+    engines.forEach(
+        (id, engine) -> {
+          if (isDue(id, engine)) {
+            begin(id, engine);
+          }
+        });
+  }
+
+  private boolean isDue(UpstreamId id, EngineControl engine) {
+    return port.isPresent() && engine.isDue(policy.version(), time.nowMillis()) && owners.owns(id);
+  }
+
+  private void begin(UpstreamId id, EngineControl engine) {
+    Optional<Artifact> fetch = engine.nextFetch();
+    if (fetch.isEmpty()) {
+      send(engine, fetch);
+      return;
+    }
+    // The answer may be late: nothing else is begun for the engine until then.
+    engine.awaitPermit(time.nowMillis() + settings.answerMillis());
+    String request = requestPrefix + '/' + nextRequest++;
+    permits.acquire(request, decision -> decided(id, fetch, decision));
+  }
+
+  private void decided(UpstreamId id, Optional<Artifact> fetch, LimitDecision decision) {
+    EngineControl engine = engines.get(id);
+    if (engine == null) {
+      return;
+    }
+    engine.endWaitForPermit();
+    switch (decision) {
+      case LimitDecision.Admitted admitted -> {
+        if (isDue(id, engine) && engine.nextFetch().equals(fetch)) {
+          send(engine, fetch);
+        }
+      }
+      case LimitDecision.Refused refused ->
+          engine.awaitPermit(time.nowMillis() + Math.max(1, refused.retryAfterMillis()));
+    }
+  }
+
+  private void send(EngineControl engine, Optional<Artifact> fetch) {
+    EngineOrder order = engine.order(policy.version(), fetch);
+    long number = engine.sent(time.nowMillis());
+    time.after(settings.answerMillis(), () -> engine.timeOut(number, time.nowMillis()));
+    port.orElseThrow()
+        .send(order, result -> engine.result(number, order, result, time.nowMillis()));
+  }
+
+  private static boolean isAbsurd(EngineReport report) {
+    long number = report.state().map(EngineState::fencingNumber).orElse(0L);
+    return number < 0 || number > MAX_NUMBER;
+  }
+}
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.List;
 import org.ragworttide.coordination.hash.Rendezvous;
+import org.ragworttide.coordination.id.ModelId;
 
 /**
  * The upstreams of one model with what a single decision computes over them.
@@ -16,6 +17,7 @@
   private static final double UNSEEN_REQUESTS = 1;
   private static final long VISITED = Long.MIN_VALUE;
 
+  private final ModelId model;
   private final UpstreamTracker[] trackers;
   private final long[] weights;
   private final double[] shares;
@@ -29,7 +31,8 @@
   private long now;
   private int daemons = 1;
 
-  CandidateSet(List<UpstreamTracker> trackers, RouterSettings settings) {
+  CandidateSet(ModelId model, List<UpstreamTracker> trackers, RouterSettings settings) {
+    this.model = model;
     this.trackers = trackers.toArray(UpstreamTracker[]::new);
     this.weights = new long[this.trackers.length];
     this.shares = new double[this.trackers.length];
@@ -69,7 +72,7 @@
       UpstreamTracker tracker = trackers[i];
       weights[i] = VISITED;
       shares[i] = 0;
-      if (!tracker.isOpen()) {
+      if (!tracker.isOpenFor(model)) {
         continue;
       }
       open++;
@@ -176,7 +179,7 @@
     int count = 0;
     for (int i = 0; i < trackers.length; i++) {
       boolean tried = request.tried().contains(trackers[i].spec().id());
-      if (trackers[i].isOpen() && !tried && hasRoom(i)) {
+      if (trackers[i].isOpenFor(model) && !tried && hasRoom(i)) {
         order[count++] = loadKey(i, key);
       }
     }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingFacts.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingFacts.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.ragworttide.coordination.hash.Rendezvous;
+import org.ragworttide.coordination.id.ModelId;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.time.TimerService;
@@ -74,6 +75,16 @@
     return false;
   }
 
+  /** Notes which of its models an upstream does not have loaded, in place of what was noted. */
+  public void lacking(UpstreamId upstream, Set<ModelId> models) {
+    UpstreamTracker tracker = state.tracker(upstream);
+    if (tracker == null) {
+      state.ignore(IgnoredFact.UNKNOWN_UPSTREAM);
+    } else {
+      tracker.lacking(models);
+    }
+  }
+
   /** Takes a cache event as a hint. */
   public void cache(CacheEvent event) {
     UpstreamTracker tracker = state.tracker(event.upstream());
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingState.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingState.java
@@ -105,7 +105,7 @@
       }
     }
     Map<ModelId, CandidateSet> sets = new HashMap<>();
-    byModel.forEach((model, list) -> sets.put(model, new CandidateSet(list, settings)));
+    byModel.forEach((model, list) -> sets.put(model, new CandidateSet(model, list, settings)));
     return sets;
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamTracker.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamTracker.java
@@ -1,6 +1,8 @@
 package org.ragworttide.coordination.routing;
 
+import java.util.Set;
 import org.ragworttide.coordination.hash.Rendezvous;
+import org.ragworttide.coordination.id.ModelId;
 
 /**
  * Keeps what a daemon knows of one upstream: the last report and its own requests in flight.
@@ -13,6 +15,7 @@
 
   final long hash;
   private UpstreamSpec spec;
+  private Set<ModelId> lacking = Set.of();
   private boolean open;
   private long rampStartMillis = NEVER;
   private long rampMillis = 1;
@@ -65,6 +68,16 @@
     return open;
   }
 
+  /** Notes which of its models the upstream does not have loaded. */
+  void lacking(Set<ModelId> models) {
+    lacking = Set.copyOf(models);
+  }
+
+  /** Returns whether the upstream takes new work for the model. */
+  boolean isOpenFor(ModelId model) {
+    return open && !lacking.contains(model);
+  }
+
   int inFlight() {
     return inFlight;
   }
--- a/coordination/src/test/java/org/ragworttide/coordination/CoordinatorFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/CoordinatorFleet.java
@@ -29,11 +29,18 @@
   @Override
   public Coordinator create(
       VmId vm, Incarnation incarnation, NodeTimers timers, Transport transport) {
+    Coordinator coordinator = bare(vm, incarnation, timers, transport);
+    coordinator.apply(new FleetPolicy(Map.of(ORGANISATION, LIMIT), Map.of(), List.of(), Map.of()));
+    return coordinator;
+  }
+
+  /** Creates a coordinator that is configured and has no policy. */
+  static Coordinator bare(
+      VmId vm, Incarnation incarnation, NodeTimers timers, Transport transport) {
     Coordinator coordinator =
         new Coordinator(
             vm, incarnation, timers, transport, new NoDocuments(), RouterSettings.DEFAULTS);
     coordinator.configure(CONSTANTS);
-    coordinator.apply(new FleetPolicy(Map.of(ORGANISATION, LIMIT), Map.of(), List.of(), Map.of()));
     return coordinator;
   }
 
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/orders/OrdersTest.java
@@ -0,0 +1,177 @@
+package org.ragworttide.coordination.orders;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.limits.LimitDecision;
+import org.ragworttide.coordination.limits.RefusalReason;
+import org.ragworttide.coordination.time.ManualTimerService;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Checks when one daemon orders one engine, and when it keeps silent. */
+public class OrdersTest {
+  private static final UpstreamId ENGINE = new UpstreamId("engine-1");
+  private static final Artifact MODEL = new Artifact(Artifact.Kind.MODEL, "m", "1");
+  private static final Artifact ADAPTER = new Artifact(Artifact.Kind.ADAPTER, "a", "1");
+  private static final EngineState EMPTY = new EngineState(0, Set.of(), Set.of(), "serve");
+  private static final long LONG_MILLIS = 120_000;
+
+  private ManualTimerService time;
+  private List<EngineOrder> sent;
+  private Consumer<OrderResult> lastResult;
+  private LimitDecision permit;
+  private boolean owner;
+  private Orders orders;
+
+  /** Creates a daemon that owns the engine and may fetch. */
+  @BeforeMethod
+  public void create() {
+    time = new ManualTimerService();
+    sent = new ArrayList<>();
+    permit = new LimitDecision.Admitted(false);
+    owner = true;
+    orders =
+        new Orders(
+            time,
+            engine -> owner,
+            (request, decision) -> decision.accept(permit),
+            OrderSettings.DEFAULTS,
+            "run");
+    orders.apply(policy(5, MODEL, ADAPTER));
+    orders.sendWith(
+        (order, result) -> {
+          sent.add(order);
+          lastResult = result;
+        });
+  }
+
+  @Test
+  public void eachOrderLetsTheEngineFetchOneArtifactModelsFirst() {
+    report(1, EMPTY);
+    answer(new OrderResult.Accepted());
+    report(1, new EngineState(5, Set.of(MODEL), Set.of(), "serve"));
+    assertEquals(
+        sent.stream().map(order -> order.fetch().orElseThrow()).toList(), List.of(MODEL, ADAPTER));
+    assertTrue(sent.stream().allMatch(order -> order.fencingNumber() == 5));
+  }
+
+  @Test
+  public void nothingIsSentToEnginesThatFitLoadOrDoNotReport() {
+    time.advance(LONG_MILLIS);
+    report(1, new EngineState(5, Set.of(MODEL), Set.of(ADAPTER), "serve"));
+    assertEquals(reason(), PendingOrder.Reason.LOADING);
+    report(1, new EngineState(5, Set.of(MODEL, ADAPTER), Set.of(), "serve"));
+    assertTrue(orders.pending().isEmpty());
+    report(1, EMPTY);
+    assertEquals(sent.size(), 1);
+    answer(new OrderResult.Lost("x"));
+    time.advance(LONG_MILLIS);
+    assertEquals(reason(), PendingOrder.Reason.NO_REPORT);
+    assertTrue(sent.size() <= 2, "orders on old reports: " + sent.size());
+  }
+
+  @Test
+  public void nothingIsSentToAnEngineThatTookNewerOrder() {
+    report(1, new EngineState(6, Set.of(), Set.of(), "other"));
+    assertEquals(reason(), PendingOrder.Reason.SUPERSEDED);
+    assertTrue(sent.isEmpty());
+    orders.apply(policy(6, MODEL));
+    time.advance(1_000);
+    assertEquals(sent.size(), 1);
+  }
+
+  @Test
+  public void anAnswerThatNamesNewerOrderEndsTheOrders() {
+    report(1, EMPTY);
+    answer(new OrderResult.Old(9));
+    time.advance(9_000);
+    assertEquals(sent.size(), 1);
+    assertEquals(reason(), PendingOrder.Reason.SUPERSEDED);
+  }
+
+  @Test
+  public void engineThatDoesNotFollowIsOrderedAtGrowingIntervals() {
+    for (int second = 0; second < 300; second++) {
+      report(1, EMPTY);
+      if (lastResult != null) {
+        answer(new OrderResult.Refused("status 500"));
+      }
+    }
+    assertTrue(sent.size() >= 10 && sent.size() <= 16, "orders in 300 s: " + sent.size());
+  }
+
+  @Test
+  public void withoutPermitNothingIsSentAndAnotherDaemonsEngineIsLeftAlone() {
+    permit = new LimitDecision.Refused(300, RefusalReason.RATE_EXCEEDED);
+    report(1, EMPTY);
+    assertEquals(reason(), PendingOrder.Reason.AWAITING_PERMIT);
+    permit = new LimitDecision.Admitted(false);
+    owner = false;
+    report(1, EMPTY);
+    assertTrue(sent.isEmpty());
+  }
+
+  @Test
+  public void engineThatDoesNotTellGetsEachArtifactOnceAndAgainAfterRestart() {
+    for (int second = 0; second < 30; second++) {
+      report(1, null);
+      answer(new OrderResult.Accepted());
+    }
+    assertEquals(sent.size(), 2);
+    assertTrue(orders.pending().isEmpty());
+    report(2, null);
+    assertEquals(sent.size(), 3);
+  }
+
+  @Test
+  public void absurdAndOldReportsAreCountedAndIgnored() {
+    report(1, new EngineState(5, Set.of(MODEL, ADAPTER), Set.of(), "serve"));
+    report(1, new EngineState(-1, Set.of(), Set.of(), "serve"));
+    report(1, new EngineState(Long.MAX_VALUE, Set.of(), Set.of(), "serve"));
+    orders.report(new EngineReport(ENGINE, 1, 0, Optional.of(EMPTY)));
+    assertTrue(sent.isEmpty());
+    assertEquals(orders.ignoredReports(), 3);
+  }
+
+  @Test
+  public void olderConfigurationIsNotAppliedAndUnnamedEnginesAreForgotten() {
+    orders.apply(policy(4, MODEL));
+    report(1, EMPTY);
+    assertEquals(sent.getFirst().fencingNumber(), 5);
+    orders.apply(new OrderPolicy(6, Map.of(), Optional.empty()));
+    time.advance(LONG_MILLIS);
+    assertEquals(sent.size(), 1);
+  }
+
+  private PendingOrder.Reason reason() {
+    return orders.pending().getFirst().reason();
+  }
+
+  private void report(long incarnation, EngineState state) {
+    time.advance(1);
+    orders.report(
+        new EngineReport(ENGINE, incarnation, time.nowMillis(), Optional.ofNullable(state)));
+    time.advance(999);
+  }
+
+  private void answer(OrderResult result) {
+    Consumer<OrderResult> told = lastResult;
+    lastResult = null;
+    if (told != null) {
+      told.accept(result);
+    }
+  }
+
+  private static OrderPolicy policy(long version, Artifact... artifacts) {
+    WantedState wanted = new WantedState(List.of(artifacts), "serve");
+    return new OrderPolicy(version, Map.of(ENGINE, new EngineGoal(wanted, true)), Optional.empty());
+  }
+}
--- a/coordination/src/test/java/org/ragworttide/coordination/routing/RouterTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/routing/RouterTest.java
@@ -45,6 +45,27 @@
     }
   }
 
+  @Test
+  public void engineThatLacksTheModelGetsNoRequestUntilItHasIt() {
+    RouterFixture fleet = new RouterFixture(1);
+    fleet.reportAll(1, 10);
+    Router router = fleet.routers.getFirst();
+    for (int chat = 0; chat < CHATS; chat++) {
+      final UpstreamId home = place(router, "chat-" + chat);
+      router.facts().lacking(home, Set.of(RouterFixture.MODEL));
+      router.facts().upstreams(specs(ENGINES));
+      assertNotEquals(place(router, "chat-" + chat), home);
+      router.facts().lacking(home, Set.of());
+      assertEquals(place(router, "chat-" + chat), home);
+    }
+    for (int engine = 0; engine < ENGINES; engine++) {
+      router.facts().lacking(id(engine), Set.of(RouterFixture.MODEL));
+    }
+    assertEquals(
+        ((RouteResult.Refused) router.route(request("chat"))).reason(),
+        RefusalReason.OUT_OF_SERVICE);
+  }
+
   @Test
   public void engineThatLeavesOrVanishesMovesOnlyItsOwnChats() {
     RouterFixture fleet = new RouterFixture(1);
--- a/daemon/src/main/java/org/ragworttide/daemon/DaemonHttp.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/DaemonHttp.java
@@ -78,6 +78,11 @@
     callers.onConfiguration();
   }
 
+  /** Returns the client towards upstreams. */
+  public UpstreamClient upstreams() {
+    return upstreams;
+  }
+
   /** Returns whether a drain has begun, so that the daemon isn't ready any more. */
   public boolean draining() {
     return callers.draining();
--- a/daemon/src/main/java/org/ragworttide/daemon/audit/AuditAction.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/audit/AuditAction.java
@@ -18,6 +18,8 @@
   RATE_CHANGED,
   /** A VM list came into force. */
   VM_LIST_APPLIED,
+  /** An engine was ordered to load or unload weights or to change its role. */
+  ENGINE_ORDERED,
   /** The daemon began to drain. */
   DRAIN
 }
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -43,7 +43,13 @@
   /** A certificate, key or authority was read again. */
   TLS_RELOADED(5001, Level.INFO, "TLS files read again: %s"),
   /** A certificate, key or authority could not be read again and the last good one stays. */
-  TLS_UNUSABLE(5002, Level.ERROR, "TLS files unusable, the last good ones stay: %s: %s");
+  TLS_UNUSABLE(5002, Level.ERROR, "TLS files unusable, the last good ones stay: %s: %s"),
+  /** An order leaves for an engine. */
+  ORDER_SENT(6001, Level.INFO, "engine %s is ordered as of version %s: %s"),
+  /** An engine took an order. */
+  ORDER_TAKEN(6002, Level.INFO, "engine %s, order of version %s: %s"),
+  /** An engine did not take an order, or its answer is not known. */
+  ORDER_FAILED(6003, Level.WARN, "engine %s, order of version %s: %s");
 
   private final int number;
   private final Level level;
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/orders/OrderSender.java
@@ -0,0 +1,137 @@
+package org.ragworttide.daemon.orders;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.orders.EngineOrder;
+import org.ragworttide.coordination.orders.OrderPort;
+import org.ragworttide.coordination.orders.OrderResult;
+import org.ragworttide.coordination.time.TimerService;
+import org.ragworttide.daemon.audit.AuditAction;
+import org.ragworttide.daemon.audit.AuditTrail;
+import org.ragworttide.daemon.log.EventLog;
+import org.ragworttide.daemon.log.LogEvent;
+import org.ragworttide.document.ConfigurationDocument;
+import reactor.core.publisher.Mono;
+
+/**
+ * Sends the orders of the coordination library to engines and records each with its result.
+ *
+ * <p>Invariant: an order that waited for its connection longer than a bound, as after a pause of
+ * the process, is not sent. Confined to the coordination thread.
+ */
+public final class OrderSender implements OrderPort {
+  private static final long MAX_AGE_MILLIS = 1_500;
+
+  private final TimerService time;
+  private final Consumer<Runnable> loop;
+  private final Supplier<EngineCalls> calls;
+  private final AuditTrail audit;
+  private final MetricRegistry metrics;
+  private final String actor;
+  private Map<UpstreamId, InetSocketAddress> addresses = Map.of();
+
+  /**
+   * Creates a sender without any engine.
+   *
+   * @param time the timer service
+   * @param loop runs tasks on the coordination thread
+   * @param calls sends over HTTP
+   * @param audit takes the orders and their results
+   * @param metrics counts them
+   * @param actor this daemon, as the audit trail names it
+   */
+  public OrderSender(
+      TimerService time,
+      Consumer<Runnable> loop,
+      Supplier<EngineCalls> calls,
+      AuditTrail audit,
+      MetricRegistry metrics,
+      String actor) {
+    this.time = time;
+    this.loop = loop;
+    this.calls = calls;
+    this.audit = audit;
+    this.metrics = metrics;
+    this.actor = actor;
+  }
+
+  /** Takes the engines' addresses from a configuration. */
+  public void apply(ConfigurationDocument document) {
+    Map<UpstreamId, InetSocketAddress> next = new HashMap<>();
+    document
+        .upstreams()
+        .forEach(upstream -> next.put(new UpstreamId(upstream.id()), address(upstream.address())));
+    addresses = next;
+  }
+
+  @Override
+  public void send(EngineOrder order, Consumer<OrderResult> result) {
+    String content = describe(order);
+    EventLog.log(LogEvent.ORDER_SENT, order.engine(), order.fencingNumber(), content);
+    long decidedAtMillis = time.nowMillis();
+    InetSocketAddress address = addresses.get(order.engine());
+    Mono<OrderResult> call =
+        address == null
+            ? Mono.just(new OrderResult.NotSent("no address"))
+            : calls
+                .get()
+                .send(address, order, () -> time.nowMillis() - decidedAtMillis < MAX_AGE_MILLIS);
+    call.subscribe(
+        told ->
+            loop.accept(
+                () -> {
+                  record(order, content, told);
+                  result.accept(told);
+                }));
+  }
+
+  private void record(EngineOrder order, String content, OrderResult result) {
+    String outcome = outcome(result);
+    metrics.counter("orders;outcome=" + outcome).inc();
+    LogEvent event =
+        result instanceof OrderResult.Accepted ? LogEvent.ORDER_TAKEN : LogEvent.ORDER_FAILED;
+    EventLog.log(event, order.engine(), order.fencingNumber(), describe(result));
+    audit.record(
+        AuditAction.ENGINE_ORDERED, actor, order.engine().value(), content, describe(result));
+  }
+
+  private static String outcome(OrderResult result) {
+    return switch (result) {
+      case OrderResult.Accepted accepted -> "accepted";
+      case OrderResult.Old old -> "old";
+      case OrderResult.Refused refused -> "refused";
+      case OrderResult.NotSent unsent -> "not-sent";
+      case OrderResult.Lost lost -> "lost";
+    };
+  }
+
+  private static String describe(OrderResult result) {
+    return switch (result) {
+      case OrderResult.Accepted accepted -> "accepted";
+      case OrderResult.Old old -> "refused as older than " + old.newestNumber();
+      case OrderResult.Refused refused -> "refused: " + refused.reason();
+      case OrderResult.NotSent unsent -> "not sent: " + unsent.reason();
+      case OrderResult.Lost lost -> "no answer: " + lost.reason();
+    };
+  }
+
+  private static String describe(EngineOrder order) {
+    return "number %d, role %s, artifacts %s, fetch %s"
+        .formatted(
+            order.fencingNumber(),
+            order.wanted().role(),
+            order.wanted().artifacts(),
+            order.fetch().map(Object::toString).orElse("nothing"));
+  }
+
+  private static InetSocketAddress address(String text) {
+    int colon = text.lastIndexOf(':');
+    return new InetSocketAddress(
+        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/platform/PublishedLoads.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/platform/PublishedLoads.java
@@ -5,7 +5,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.orders.EngineState;
 
 /**
  * The platform's load reports as read, or the reason why they cannot be used.
@@ -22,8 +24,15 @@
    * @param running requests in flight
    * @param waiting requests that wait in the engine
    * @param atMillis when the platform saw it, by the platform's clock
+   * @param state what the engine says of weights, role and orders, empty if it does not tell
    */
-  record Report(UpstreamId upstream, long incarnation, int running, int waiting, long atMillis) {}
+  record Report(
+      UpstreamId upstream,
+      long incarnation,
+      int running,
+      int waiting,
+      long atMillis,
+      Optional<EngineState> state) {}
 
   /**
    * Usable reports.
@@ -50,7 +59,8 @@
                 report.path("incarnation").asLong(),
                 report.path("running").asInt(),
                 report.path("waiting").asInt(),
-                report.path("atMillis").asLong()));
+                report.path("atMillis").asLong(),
+                PublishedState.read(report.path("state"))));
       }
       return new Usable(reports);
     } catch (IOException | IllegalArgumentException e) {
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/platform/PublishedState.java
@@ -0,0 +1,41 @@
+package org.ragworttide.daemon.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.ragworttide.coordination.orders.Artifact;
+import org.ragworttide.coordination.orders.EngineState;
+
+/** Reads what an engine's report says of its weights, role and orders; stateless. */
+final class PublishedState {
+
+  private PublishedState() {}
+
+  /** Returns the state, or nothing if the report has none; names that are missing read as empty. */
+  static Optional<EngineState> read(JsonNode state) {
+    if (!state.isObject()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new EngineState(
+            state.path("fencingNumber").asLong(),
+            artifacts(state.path("loaded")),
+            artifacts(state.path("loading")),
+            state.path("role").asText()));
+  }
+
+  private static Set<Artifact> artifacts(JsonNode lists) {
+    Set<Artifact> artifacts = new HashSet<>();
+    add(artifacts, Artifact.Kind.MODEL, lists.path("models"));
+    add(artifacts, Artifact.Kind.ADAPTER, lists.path("adapters"));
+    return artifacts;
+  }
+
+  private static void add(Set<Artifact> artifacts, Artifact.Kind kind, JsonNode list) {
+    list.forEach(
+        entry ->
+            artifacts.add(
+                new Artifact(kind, entry.path("id").asText(), entry.path("version").asText())));
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
@@ -19,6 +19,8 @@
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
 import org.ragworttide.daemon.operator.OperatorServer;
+import org.ragworttide.daemon.orders.EngineCalls;
+import org.ragworttide.daemon.orders.OrderSender;
 import org.ragworttide.daemon.peer.PeerIdentity;
 import org.ragworttide.daemon.peer.PeerNetwork;
 import org.ragworttide.daemon.peer.SendBudget;
@@ -99,7 +101,17 @@
   private Mono<Daemon> open() {
     EventLog.log(LogEvent.STARTED, settings.vm(), settings.zone(), incarnation);
     RouterPlacement placement = new RouterPlacement(loop, coordinator, configuration::current);
+    OrderSender orders =
+        new OrderSender(
+            loop,
+            loop::execute,
+            () -> new EngineCalls(http.upstreams()),
+            audit,
+            metrics,
+            settings.vm().value());
     configuration.subscribe(this::apply);
+    configuration.subscribe((old, now) -> orders.apply(now));
+    configuration.subscribe((old, now) -> coordinator.orders().sendWith(orders));
     configuration.subscribe((old, now) -> placement.apply(now));
     configuration.subscribe(new ConfigurationAudit(audit)::changed);
     RelayPorts ports =
@@ -124,6 +136,7 @@
     DaemonStatus status =
         new DaemonStatus(settings, incarnation, coordinator, configuration, draining::get, audit);
     loop.every(DaemonStatus.REFRESH_MILLIS, status::refresh);
+    metrics.gauge("orders_pending", () -> status::pendingOrders);
     return new OperatorServer(new Operators(status, this::drain), metrics, audit)
         .bind(address.host(), address.port())
         .then();
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/DaemonStatus.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/DaemonStatus.java
@@ -8,6 +8,7 @@
 import org.ragworttide.coordination.id.Incarnation;
 import org.ragworttide.coordination.membership.VmEntry;
 import org.ragworttide.coordination.membership.VmList;
+import org.ragworttide.coordination.orders.PendingOrder;
 import org.ragworttide.daemon.audit.AuditAction;
 import org.ragworttide.daemon.audit.AuditTrail;
 import org.ragworttide.daemon.log.EventLog;
@@ -32,6 +33,7 @@
   private final AuditTrail audit;
   private volatile Map<String, Object> sections = Map.of();
   private volatile boolean converged;
+  private volatile int pendingOrders;
   private long listVersion;
 
   DaemonStatus(
@@ -57,6 +59,10 @@
     return sections;
   }
 
+  int pendingOrders() {
+    return pendingOrders;
+  }
+
   void refresh() {
     ConfigurationDocument document = configuration.current();
     boolean ready = document != null && coordinator.versions().isReady();
@@ -80,6 +86,9 @@
     if (coordinator.isConfigured()) {
       next.put("leases", coordinator.leases().owned().size());
       next.put("claims", coordinator.claims().claimsKept());
+      List<PendingOrder> pending = coordinator.orders().pending();
+      pendingOrders = pending.size();
+      next.put("pendingOrders", pending.stream().map(DaemonStatus::pendingOrder).toList());
     }
     sections = next;
   }
@@ -101,6 +110,15 @@
     return list.vms().stream().map(this::vm).toList();
   }
 
+  private static Map<String, Object> pendingOrder(PendingOrder order) {
+    Map<String, Object> pending = new LinkedHashMap<>();
+    pending.put("engine", order.engine().value());
+    pending.put("reason", order.reason().name());
+    pending.put("ordersSent", order.orders());
+    pending.put("lastResult", order.lastResult());
+    return pending;
+  }
+
   private Map<String, Object> vm(VmEntry entry) {
     Map<String, Object> vm = new LinkedHashMap<>();
     vm.put("id", entry.id().value());
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/PlatformFacts.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/PlatformFacts.java
@@ -29,6 +29,7 @@
   private final AuditTrail audit;
   private final UpstreamRuns runs = new UpstreamRuns();
   private Coordinator coordinator;
+  private EngineReports engines;
   private PlatformFeed feed;
   private ConfigurationDocument accepted;
   private volatile boolean reader;
@@ -42,6 +43,7 @@
 
   void connect(Coordinator coordinator, PlatformFeed feed) {
     this.coordinator = coordinator;
+    this.engines = new EngineReports(coordinator);
     this.feed = feed;
   }
 
@@ -120,6 +122,7 @@
     if (configuration.apply(accepted)) {
       EventLog.log(
           LogEvent.CONFIGURATION_APPLIED, version, before.map(String::valueOf).orElse("none"));
+      engines.applied(configuration.current());
     }
   }
 
@@ -140,5 +143,6 @@
             measuredAtMillis,
             report.running(),
             report.waiting()));
+    engines.reported(configuration.current(), report, measuredAtMillis);
   }
 }
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Policies.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Policies.java
@@ -32,7 +32,11 @@
 
   static FleetPolicy policy(ConfigurationDocument document) {
     return new FleetPolicy(
-        rates(document), coldLimits(document), UpstreamSpecs.of(document), zones(document));
+        rates(document),
+        coldLimits(document),
+        UpstreamSpecs.of(document),
+        zones(document),
+        OrderPolicies.of(document));
   }
 
   private static Map<OrganisationId, RateLimit> rates(ConfigurationDocument document) {
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/UpstreamSpecs.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/UpstreamSpecs.java
@@ -43,19 +43,26 @@
     };
   }
 
+  /** Returns the router's models of an engine that does not have them among what is loaded. */
+  static Set<ModelId> lacking(ConfigurationDocument document, Upstream engine, Set<String> loaded) {
+    List<String> missing = engine.models().stream().filter(name -> !loaded.contains(name)).toList();
+    return missing.isEmpty() ? Set.of() : models(document, engine, missing);
+  }
+
   private static UpstreamSpec spec(ConfigurationDocument document, Upstream upstream) {
     return new UpstreamSpec(
         new UpstreamId(upstream.id()),
         new ZoneId(upstream.zone()),
-        models(document, upstream),
+        models(document, upstream, upstream.models()),
         upstream.service() == Service.IN,
         upstream.coldConcurrency(),
         MAX_IN_FLIGHT);
   }
 
-  private static Set<ModelId> models(ConfigurationDocument document, Upstream upstream) {
+  private static Set<ModelId> models(
+      ConfigurationDocument document, Upstream upstream, List<String> names) {
     Set<ModelId> models = new HashSet<>();
-    upstream.models().forEach(name -> models.add(new ModelId(name)));
+    names.forEach(name -> models.add(new ModelId(name)));
     for (Route route : document.routes()) {
       if (!route.upstreams().contains(upstream.id())) {
         continue;
@@ -63,7 +70,7 @@
       if (route.kind() == RouteKind.SERVICE) {
         models.add(serviceModel(route.id()));
       } else {
-        upstream.models().forEach(name -> models.add(restrictedModel(route, name)));
+        names.forEach(name -> models.add(restrictedModel(route, name)));
       }
     }
     return models;
--- a/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
@@ -93,6 +93,18 @@
     return send(request);
   }
 
+  CompletableFuture<Answer> chat(int daemon, String model) {
+    String body = "{\"model\":\"%s\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}";
+    URI uri = URI.create("http://127.0.0.1:" + ports.get(daemon)[0] + "/v1/chat/completions");
+    return send(
+        HttpRequest.newBuilder(uri)
+            .timeout(Duration.ofSeconds(6))
+            .header("Authorization", "Bearer " + KEY)
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString(body.formatted(model)))
+            .build());
+  }
+
   CompletableFuture<Answer> get(int daemon, String path) {
     return send(
         HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + ports.get(daemon)[0] + path))
--- a/daemon/src/test/java/org/ragworttide/daemon/process/TestDocuments.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/process/TestDocuments.java
@@ -32,8 +32,40 @@
       }
       """;
 
+  private static final String ORDERS =
+      """
+      {
+        "version": %d,
+        "fleet": { "name": "test", "maxEntryVms": 4, "loadMultiple": 1.5,
+          "claimRetentionSeconds": 10 },
+        "zones": [ { "id": "zone-0", "service": "IN" } ],
+        "organisations": [ { "id": "hotel", "ratePerSecond": 200, "burst": 400 } ],
+        "keys": [ { "organisation": "hotel", "sha256": "%s", "withdrawn": false } ],
+        "upstreams": [
+          { "id": "engine-1", "kind": "ENGINE", "zone": "zone-0", "address": "127.0.0.1:%d",
+            "models": ["repair", "slabs"], "service": "IN", "coldConcurrency": 4 },
+          { "id": "engine-2", "kind": "ENGINE", "zone": "zone-0", "address": "127.0.0.1:%d",
+            "models": ["repair"], "service": "IN", "coldConcurrency": 4 } ],
+        "routes": [ { "id": "chat", "path": "/v1/chat/completions", "kind": "CHAT",
+            "open": false, "idempotent": true, "windowMillis": 5000, "upstreams": [] } ],
+        "orders": {
+          "weightStore": { "loadsPerSecond": 4, "burst": 2 },
+          "engines": [
+            { "id": "engine-1", "role": "serve", "fencing": "CHECKED",
+              "models": [ { "id": "repair", "version": "3" } ],
+              "adapters": [ { "id": "slabs", "version": "1" } ] },
+            { "id": "engine-2", "role": "serve", "fencing": "IGNORED",
+              "models": [ { "id": "repair", "version": "3" } ], "adapters": [] } ]
+        }
+      }
+      """;
+
   private TestDocuments() {}
 
+  static String orders(long version, int checkingPort, int ignoringPort) {
+    return ORDERS.formatted(version, sha256(DaemonProcesses.KEY), checkingPort, ignoringPort);
+  }
+
   static String configuration(
       long version, int retentionSeconds, int bookingsPort, boolean keyWithdrawn) {
     return CONFIGURATION.formatted(
--- a/document/src/main/java/org/ragworttide/document/ConfigurationDocument.java
+++ b/document/src/main/java/org/ragworttide/document/ConfigurationDocument.java
@@ -15,6 +15,7 @@
  * @param keys digests of callers' keys
  * @param upstreams model engines and plain services
  * @param routes what callers may ask for
+ * @param orders what engines are ordered to be; empty where the document says nothing of it
  */
 public record ConfigurationDocument(
     long version,
@@ -23,7 +24,8 @@
     List<Organisation> organisations,
     List<Key> keys,
     List<Upstream> upstreams,
-    List<Route> routes) {
+    List<Route> routes,
+    OrdersSection orders) {
 
   /** Copies the lists. */
   public ConfigurationDocument {
@@ -32,6 +34,19 @@
     keys = List.copyOf(keys);
     upstreams = List.copyOf(upstreams);
     routes = List.copyOf(routes);
+    orders = orders == null ? OrdersSection.NONE : orders;
+  }
+
+  /** Creates a document that orders no engine. */
+  public ConfigurationDocument(
+      long version,
+      Fleet fleet,
+      List<Zone> zones,
+      List<Organisation> organisations,
+      List<Key> keys,
+      List<Upstream> upstreams,
+      List<Route> routes) {
+    this(version, fleet, zones, organisations, keys, upstreams, routes, OrdersSection.NONE);
   }
 
   /**
--- a/document/src/main/java/org/ragworttide/document/CrossChecks.java
+++ b/document/src/main/java/org/ragworttide/document/CrossChecks.java
@@ -30,6 +30,7 @@
     checks.checkReferences();
     new RouteChecks(root, checks.faults).check();
     checks.checkUpstreams();
+    new OrderChecks(root, checks.faults).check();
     return checks.faults;
   }
 
--- a/document/src/test/java/org/ragworttide/document/DocumentReaderTest.java
+++ b/document/src/test/java/org/ragworttide/document/DocumentReaderTest.java
@@ -9,12 +9,27 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.regex.Pattern;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** A document is accepted whole or refused with every fault and its place. */
 public class DocumentReaderTest {
+  private static final String ORDERS =
+      """
+      "orders": {
+        "weightStore": { "loadsPerSecond": 2, "burst": 4 },
+        "engines": [
+          { "id": "engine-1", "role": "serve", "fencing": "CHECKED",
+            "models": [ { "id": "repair-8b", "version": "3" } ],
+            "adapters": [ { "id": "slabs", "version": "1" } ] },
+          { "id": "engine-2", "role": "serve", "fencing": "IGNORED",
+            "models": [ { "id": "repair-8b", "version": "3" } ], "adapters": [] }
+        ]
+      },
+      """;
+
   private String demo;
 
   /** Reads the demo's document, which is valid. */
@@ -58,11 +73,36 @@
   @Test(dataProvider = "faults")
   public void everyFaultIsReportedWithItsPlace(String from, String to, String place) {
     assertTrue(demo.contains(from), "the demo's document lacks " + from);
-    List<Fault> faults = faultsOf(demo.replaceFirst(java.util.regex.Pattern.quote(from), to));
+    List<Fault> faults = faultsOf(demo.replaceFirst(Pattern.quote(from), to));
     assertTrue(
         faults.stream().anyMatch(fault -> fault.place().equals(place)), "faults were " + faults);
   }
 
+  /** Pairs of a change to a section of orders and the place of the fault it makes. */
+  @DataProvider
+  public Object[][] orderFaults() {
+    return new Object[][] {
+      {"\"fencing\": \"CHECKED\"", "\"fencing\": \"YES\"", "/orders/engines/0/fencing"},
+      {"\"id\": \"engine-2\"", "\"id\": \"engine-9\"", "/orders/engines/1/id"},
+      {"\"id\": \"engine-2\"", "\"id\": \"bookings-1\"", "/orders/engines/1/id"},
+      {"\"id\": \"engine-2\"", "\"id\": \"engine-1\"", "/orders/engines/1/id"},
+      {"\"id\": \"repair-8b\"", "\"id\": \"other\"", "/orders/engines/0/models"},
+      {"\"id\": \"slabs\"", "\"id\": \"repair-8b\"", "/orders/engines/0/adapters/0/id"},
+      {"\"loadsPerSecond\": 2", "\"loadsPerSecond\": 0", "/orders/weightStore/loadsPerSecond"},
+      {"\"version\": \"3\"", "\"version\": 3", "/orders/engines/0/models/0/version"},
+    };
+  }
+
+  @Test(dataProvider = "orderFaults")
+  public void everyFaultOfOrdersIsReportedWithItsPlace(String from, String to, String place) {
+    String text = demo.replaceFirst("\"version\": 1,", "\"version\": 1,\n" + ORDERS);
+    assertTrue(read(text) instanceof DocumentResult.Accepted, "faults were " + faultsOf(text));
+    String faulty = text.replace(ORDERS, ORDERS.replaceFirst(Pattern.quote(from), to));
+    assertTrue(
+        faultsOf(faulty).stream().anyMatch(fault -> fault.place().equals(place)),
+        "faults were " + faultsOf(faulty));
+  }
+
   @Test
   public void schemaFaultsAndCrossFaultsAreReportedTogether() {
     String text =
--- a/fakes/src/main/java/org/ragworttide/fakes/EngineState.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/EngineState.java
@@ -24,6 +24,7 @@
 
   final PrefixMemory memory = new PrefixMemory(MAX_CHATS);
   final KeyWatch keys;
+  final EngineWeights weights = new EngineWeights();
   private final Set<Connection> open = ConcurrentHashMap.newKeySet();
   private Pace pace = new Pace(8, 5, 20);
   private int crashAfterChunks = NEVER;
@@ -130,6 +131,7 @@
   void crash() {
     synchronized (this) {
       memory.clear();
+      weights.clear();
       crashes++;
       incarnation++;
     }
--- a/fakes/src/main/java/org/ragworttide/fakes/FakeEngine.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/FakeEngine.java
@@ -1,5 +1,6 @@
 package org.ragworttide.fakes;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Duration;
 import java.util.Set;
@@ -50,7 +51,26 @@
   public LoadReport report() {
     EngineStats stats = state.stats();
     return new LoadReport(
-        id, stats.incarnation(), stats.inFlight(), 0, System.nanoTime() / 1_000_000);
+        id,
+        stats.incarnation(),
+        stats.inFlight(),
+        0,
+        System.nanoTime() / 1_000_000,
+        state.weights.state());
+  }
+
+  /**
+   * Makes it an engine that serves only what orders loaded.
+   *
+   * @param checksFencing whether it refuses an order with an old fencing number
+   */
+  public void takeOrders(boolean checksFencing) {
+    state.weights.checkFencing(checksFencing);
+  }
+
+  /** Returns how many models and adapters it fetched. */
+  public long fetches() {
+    return state.weights.fetches();
   }
 
   /** Returns its id. */
@@ -87,6 +107,7 @@
   private void routes(HttpServerRoutes routes) {
     routes
         .post("/v1/chat/completions", this::chat)
+        .post("/v1/orders", this::order)
         .get("/control/stats", (in, out) -> LoopbackServer.json(out, state.stats()))
         .post("/control/pace", (in, out) -> control(out, () -> state.pace(paceOf(in))))
         .post("/control/crash", (in, out) -> control(out, () -> crashAsTold(in)))
@@ -100,7 +121,27 @@
     if (state.refusing()) {
       return out.status(HttpResponseStatus.SERVICE_UNAVAILABLE).send();
     }
-    return LoopbackServer.body(in).flatMap(body -> new ChatRun(state, in, out).answer(body));
+    return LoopbackServer.body(in)
+        .flatMap(
+            body ->
+                state.weights.serves(Json.parse(body).path("model").asText())
+                    ? new ChatRun(state, in, out).answer(body)
+                    : Mono.from(out.status(HttpResponseStatus.SERVICE_UNAVAILABLE).send()));
+  }
+
+  private Publisher<Void> order(HttpServerRequest in, HttpServerResponse out) {
+    long number = Long.parseLong(in.requestHeaders().get("Fencing-Number"));
+    return LoopbackServer.body(in)
+        .map(body -> state.weights.take(number, Json.parse(body)))
+        .flatMap(taken -> Mono.from(answerOrder(out, taken)));
+  }
+
+  private Publisher<Void> answerOrder(HttpServerResponse out, boolean taken) {
+    if (taken) {
+      return out.send();
+    }
+    ObjectNode answer = Json.object().put("newestNumber", state.weights.number());
+    return LoopbackServer.json(out.status(HttpResponseStatus.CONFLICT), answer);
   }
 
   private static Mono<Void> control(HttpServerResponse out, Runnable action) {
--- a/fakes/src/main/java/org/ragworttide/fakes/Json.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/Json.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 
@@ -28,6 +29,10 @@
     }
   }
 
+  static ObjectNode object() {
+    return MAPPER.createObjectNode();
+  }
+
   static JsonNode parse(byte[] bytes) {
     try {
       return MAPPER.readTree(bytes);
