--- a/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import org.ragworttide.coordination.hash.Rendezvous;
+import org.ragworttide.coordination.id.ModelId;
 import org.ragworttide.coordination.id.UpstreamId;
 
 /**
@@ -18,6 +19,7 @@
   private static final long VISITED = Long.MIN_VALUE;
   private static final int NONE = -1;
 
+  private final ModelId model;
   private final UpstreamTracker[] trackers;
   private final long[] hashes;
   private final boolean[] opens;
@@ -31,12 +33,13 @@
   private long now;
   private int daemons = 1;
 
-  CandidateSet(List<UpstreamTracker> trackers, RouterSettings settings) {
+  CandidateSet(ModelId model, List<UpstreamTracker> trackers, RouterSettings settings) {
+    this.model = model;
     this.trackers = trackers.toArray(UpstreamTracker[]::new);
     this.hashes = trackers.stream().mapToLong(tracker -> tracker.hash).toArray();
     this.opens = new boolean[hashes.length];
     this.weights = new long[hashes.length];
-    this.totals = new LoadTotals(this.trackers, settings.reportStaleMillis());
+    this.totals = new LoadTotals(model, this.trackers, settings.reportStaleMillis());
     this.settings = settings;
   }
 
@@ -66,7 +69,7 @@
     daemons = fleet.daemons();
     if (totals.bringUpTo(nowMillis)) {
       for (int i = 0; i < trackers.length; i++) {
-        opens[i] = trackers[i].isOpen();
+        opens[i] = trackers[i].isOpenFor(model);
       }
     }
     weigh(key, request.tried());
@@ -187,7 +190,7 @@
     int count = 0;
     for (int i = 0; i < trackers.length; i++) {
       boolean tried = request.tried().contains(trackers[i].spec().id());
-      if (trackers[i].isOpen() && !tried && hasRoom(i)) {
+      if (trackers[i].isOpenFor(model) && !tried && hasRoom(i)) {
         order[count++] = loadKey(i, key);
       }
     }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/LoadTotals.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/LoadTotals.java
@@ -1,5 +1,7 @@
 package org.ragworttide.coordination.routing;
 
+import org.ragworttide.coordination.id.ModelId;
+
 /**
  * The sums over a model's upstreams behind the mean load, kept up to date without walking them.
  *
@@ -10,6 +12,7 @@
 final class LoadTotals {
   static final double MIN_SHARE = 0.02;
 
+  private final ModelId model;
   private final UpstreamTracker[] trackers;
   private final long staleMillis;
   private boolean outdated = true;
@@ -23,7 +26,8 @@
   private long unreported;
   private double maxShare;
 
-  LoadTotals(UpstreamTracker[] trackers, long staleMillis) {
+  LoadTotals(ModelId model, UpstreamTracker[] trackers, long staleMillis) {
+    this.model = model;
     this.trackers = trackers;
     this.staleMillis = staleMillis;
     for (UpstreamTracker tracker : trackers) {
@@ -31,6 +35,10 @@
     }
   }
 
+  ModelId model() {
+    return model;
+  }
+
   /** Makes the sums valid at the given time and tells whether that took a walk. */
   boolean bringUpTo(long nowMillis) {
     boolean walk = outdated || nowMillis < walkedAtMillis || nowMillis > validUntilMillis;
@@ -40,12 +48,12 @@
     return walk;
   }
 
-  /** Notes that the shares or the upstreams in service have changed. */
+  /** Notes that the shares, or which upstreams take new work, have changed. */
   void outdate() {
     outdated = true;
   }
 
-  /** Adds a change of the own requests at an upstream that is in service. */
+  /** Adds a change of the own requests at an upstream that takes new work. */
   void addOwn(UpstreamTracker tracker, int inFlight, int started) {
     own += inFlight;
     unreported += wasFresh(tracker.measuredAtMillis()) ? started : 0;
@@ -101,7 +109,7 @@
     unreported = 0;
     maxShare = MIN_SHARE;
     for (UpstreamTracker tracker : trackers) {
-      if (tracker.isOpen()) {
+      if (tracker.isOpenFor(model)) {
         count(tracker, nowMillis);
       }
     }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamTracker.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamTracker.java
@@ -1,7 +1,9 @@
 package org.ragworttide.coordination.routing;
 
 import java.util.Arrays;
+import java.util.Set;
 import org.ragworttide.coordination.hash.Rendezvous;
+import org.ragworttide.coordination.id.ModelId;
 
 /**
  * Keeps what a daemon knows of one upstream: the last report and its own requests in flight.
@@ -15,6 +17,7 @@
 
   final long hash;
   private UpstreamSpec spec;
+  private Set<ModelId> lacking = Set.of();
   private boolean open;
   private long rampStartMillis = NEVER;
   private long rampMillis = 1;
@@ -86,6 +89,19 @@
     return open;
   }
 
+  /** Notes which of its models the upstream does not have loaded. */
+  void lacking(Set<ModelId> models) {
+    if (!lacking.equals(models)) {
+      lacking = Set.copyOf(models);
+      outdateTotals();
+    }
+  }
+
+  /** Returns whether the upstream takes new work for the model. */
+  boolean isOpenFor(ModelId model) {
+    return open && !lacking.contains(model);
+  }
+
   int inFlight() {
     return inFlight;
   }
@@ -116,8 +132,8 @@
     for (Slot s = newest; s != null && s.startedAtMillis > measuredAtMillis; s = s.older) {
       unreported++;
     }
-    if (open) {
-      for (LoadTotals total : totals) {
+    for (LoadTotals total : totals) {
+      if (isOpenFor(total.model())) {
         total.addReport(lastMeasuredAtMillis, reported - lastReported, unreported - lastUnreported);
       }
     }
@@ -187,8 +203,8 @@
     int started = slot.startedAtMillis > measuredAtMillis ? change : 0;
     inFlight += change;
     unreported += started;
-    if (open) {
-      for (LoadTotals total : totals) {
+    for (LoadTotals total : totals) {
+      if (isOpenFor(total.model())) {
         total.addOwn(this, change, started);
       }
     }
