Hold requests back from plain services that are cold

Cause: plain services publish no load, so Policies left them out of the cold limits and a service that had restarted got every booking at once.

Permits, levels and proofs are now those of engines. In place of the load report stand a census (a new owner, or one that finds the service cold again, hands out nothing before every listed daemon has answered that nothing runs there without its permits, or before a silent daemon cannot run anything any more) and a share of each daemon, taken off the limit for permits, which serves the start of a small fleet before any lease. A refused or lost connection turns a service cold everywhere; the daemon that saw it believes no "warm" before the owner has answered for it. Ruled out: waiting for the longest run at each cold turn (each lost connection would stop bookings for their window and 30 s), permits for warm requests, shares alone; see DESIGN-ROUTING.

A changed cold limit now holds under an owner that had begun already.

Not shown by a test: that a holder takes an empty grant for cold (the notice does it too).

--- a/coordination/src/main/java/org/ragworttide/coordination/Coordinator.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/Coordinator.java
@@ -270,14 +270,14 @@
   }
 
   private void tellMembers() {
+    List<VmEntry> entries = membership.list().map(VmList::vms).orElse(List.of());
     List<VmId> live =
-        membership.list().map(VmList::vms).orElse(List.of()).stream()
-            .filter(vm -> vm.state() == VmState.LIVE)
-            .map(VmEntry::id)
-            .toList();
+        entries.stream().filter(vm -> vm.state() == VmState.LIVE).map(VmEntry::id).toList();
+    List<VmId> all = entries.stream().map(VmEntry::id).toList();
     int rank = live.indexOf(self);
     if (rights != null) {
       rights.cold().members(live);
+      rights.cold().listed(all);
       if (rank >= 0) {
         router.facts().fleet(live.size(), rank);
       }
--- a/coordination/src/main/java/org/ragworttide/coordination/FleetPolicy.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/FleetPolicy.java
@@ -16,12 +16,14 @@
  *
  * @param rates rate and burst of each organisation, which count fleet-wide
  * @param coldLimits most requests at once, fleet-wide, to an upstream that is cold
+ * @param longestRunsMillis how long a request can run at each upstream that publishes no load
  * @param upstreams where requests may go
  * @param zones which availability zones take new work
  */
 public record FleetPolicy(
     Map<OrganisationId, RateLimit> rates,
     Map<UpstreamId, Integer> coldLimits,
+    Map<UpstreamId, Long> longestRunsMillis,
     List<UpstreamSpec> upstreams,
     Map<ZoneId, ZoneState> zones) {
 
@@ -29,7 +31,17 @@
   public FleetPolicy {
     rates = Map.copyOf(rates);
     coldLimits = Map.copyOf(coldLimits);
+    longestRunsMillis = Map.copyOf(longestRunsMillis);
     upstreams = List.copyOf(upstreams);
     zones = Map.copyOf(zones);
   }
+
+  /** Lays down a policy whose upstreams all publish their load. */
+  public FleetPolicy(
+      Map<OrganisationId, RateLimit> rates,
+      Map<UpstreamId, Integer> coldLimits,
+      List<UpstreamSpec> upstreams,
+      Map<ZoneId, ZoneState> zones) {
+    this(rates, coldLimits, Map.of(), upstreams, zones);
+  }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/SharedRights.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/SharedRights.java
@@ -1,13 +1,17 @@
 package org.ragworttide.coordination;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import org.ragworttide.coordination.admission.AdmissionSettings;
 import org.ragworttide.coordination.admission.ColdAdmission;
+import org.ragworttide.coordination.admission.UnreportedUpstream;
 import org.ragworttide.coordination.claims.ClaimManager;
 import org.ragworttide.coordination.claims.ClaimSettings;
 import org.ragworttide.coordination.group.GroupSize;
 import org.ragworttide.coordination.group.Shard;
 import org.ragworttide.coordination.id.Incarnation;
+import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.lease.LeaseManager;
 import org.ragworttide.coordination.lease.LeaseSettings;
@@ -31,6 +35,7 @@
   private final ClaimManager claims;
   private final Limits limits;
   private final ColdAdmission cold;
+  private final int maxDaemons;
 
   SharedRights(
       VmId self,
@@ -39,6 +44,7 @@
       Transport transport,
       FleetConstants constants) {
     this.time = time;
+    this.maxDaemons = constants.maxEntryVms();
     GroupSize size = GroupSize.forFleetOf(constants.maxEntryVms());
     this.leases =
         new LeaseManager(
@@ -85,7 +91,18 @@
 
   void apply(FleetPolicy policy) {
     limits.apply(policy.rates());
-    cold.coldLimits(policy.coldLimits());
+    cold.coldLimits(policy.coldLimits(), unreported(policy));
+  }
+
+  private Map<UpstreamId, UnreportedUpstream> unreported(FleetPolicy policy) {
+    Map<UpstreamId, UnreportedUpstream> unreported = new HashMap<>();
+    policy
+        .longestRunsMillis()
+        .forEach(
+            (id, millis) ->
+                unreported.put(
+                    id, UnreportedUpstream.of(policy.coldLimits().get(id), maxDaemons, millis)));
+    return unreported;
   }
 
   void stop() {
--- a/coordination/src/main/java/org/ragworttide/coordination/admission/AdmissionSettings.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/AdmissionSettings.java
@@ -12,6 +12,7 @@
  * @param slowLimit slow answers within the window that show a cold upstream
  * @param slowWindowMillis the window for slow answers
  * @param slowFactor multiple of the usual slowest first token that counts as slow
+ * @param warmMillis how long a daemon takes an upstream without load reports for warm after asking
  * @param clockRateTolerance greatest relative difference of the rates of two VMs' clocks
  */
 public record AdmissionSettings(
@@ -22,15 +23,16 @@
     int slowLimit,
     long slowWindowMillis,
     double slowFactor,
+    long warmMillis,
     double clockRateTolerance) {
 
   /** The settings for answers that take up to two minutes. */
   public static final AdmissionSettings DEFAULTS =
-      new AdmissionSettings(3_000, 120_000, 500, 10, 3, 10_000, 2, 0.01);
+      new AdmissionSettings(3_000, 120_000, 500, 10, 3, 10_000, 2, 60_000, 0.01);
 
   /** Checks that all values are positive. */
   public AdmissionSettings {
-    if (permitMillis <= 0 || maxRunMillis <= 0 || askTimeoutMillis <= 0) {
+    if (permitMillis <= 0 || maxRunMillis <= 0 || askTimeoutMillis <= 0 || warmMillis <= 0) {
       throw new IllegalArgumentException("times must be positive");
     }
     if (asksPerSecond <= 0
@@ -41,4 +43,18 @@
       throw new IllegalArgumentException("limits must be positive");
     }
   }
+
+  /** Returns the settings with another longest run. */
+  public AdmissionSettings withMaxRunMillis(long millis) {
+    return new AdmissionSettings(
+        permitMillis,
+        millis,
+        askTimeoutMillis,
+        asksPerSecond,
+        slowLimit,
+        slowWindowMillis,
+        slowFactor,
+        warmMillis,
+        clockRateTolerance);
+  }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/admission/ColdAdmission.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/ColdAdmission.java
@@ -3,13 +3,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.message.AdmissionMessage;
 import org.ragworttide.coordination.message.AdmissionMessage.Ask;
-import org.ragworttide.coordination.message.AdmissionMessage.Feedback;
 import org.ragworttide.coordination.message.AdmissionMessage.Grant;
 import org.ragworttide.coordination.message.AdmissionMessage.TurnedCold;
 import org.ragworttide.coordination.message.AdmissionMessage.Warm;
@@ -25,22 +23,19 @@
  * only under a permit of the upstream's owner. Confined to the coordination thread.
  */
 public final class ColdAdmission implements UpstreamGate {
+  /** Stands for the asker when an owner asks daemons what they run. */
+  static final long CENSUS = 0;
+
   private static final long REFRESH_MILLIS = 500;
   private static final long ASK_WINDOW_MILLIS = 1_000;
 
-  private final VmId self;
   private final TimerService time;
-  private final OwnerView owners;
-  private final Transport transport;
   private final AdmissionSettings settings;
   private final PermitOwner owner;
   private final FanOut fanOut;
-  private final FirstTokenMonitor monitor;
+  private final SlowAnswers slowAnswers;
+  private final OwnerLink link;
   private final Map<UpstreamId, PermitPool> pools = new HashMap<>();
-  private final Map<UpstreamId, VmId> vouchedTo = new HashMap<>();
-  private final long asker;
-  private long nextNumber = 1;
-  private int asksLeft;
 
   /**
    * Creates the part; it knows no upstream yet.
@@ -59,19 +54,22 @@
       Transport transport,
       AdmissionSettings settings,
       long seed) {
-    this.self = self;
     this.time = time;
-    this.owners = owners;
-    this.transport = transport;
     this.settings = settings;
     SplittableRandom random = new SplittableRandom(seed);
-    this.asker = random.nextLong();
+    this.link =
+        new OwnerLink(
+            self,
+            owners,
+            transport,
+            message -> receive(self, message),
+            settings.asksPerSecond(),
+            random.nextLong());
     this.fanOut = new FanOut(self, transport, this::turnedCold);
     this.owner = new PermitOwner(time, owners, this::answer, fanOut, settings, random);
-    this.monitor = new FirstTokenMonitor(settings.slowFactor());
-    this.asksLeft = settings.asksPerSecond();
+    this.slowAnswers = new SlowAnswers(settings.slowFactor());
     time.every(REFRESH_MILLIS, this::refresh);
-    time.every(ASK_WINDOW_MILLIS, () -> asksLeft = settings.asksPerSecond());
+    time.every(ASK_WINDOW_MILLIS, link::beginWindow);
   }
 
   /** Returns the name of the lease under which the upstream's permits are given. */
@@ -79,12 +77,30 @@
     return "cold/" + upstream;
   }
 
-  /** Replaces the upstreams with their cold limits over all daemons. */
+  /** Replaces the upstreams, which all publish their load, with their cold limits. */
   public void coldLimits(Map<UpstreamId, Integer> limits) {
-    owner.coldLimits(limits);
+    coldLimits(limits, Map.of());
+  }
+
+  /**
+   * Replaces the upstreams.
+   *
+   * @param limits cold limits over all daemons
+   * @param unreported those of them that publish no load
+   */
+  public void coldLimits(
+      Map<UpstreamId, Integer> limits, Map<UpstreamId, UnreportedUpstream> unreported) {
+    owner.coldLimits(limits, unreported);
+    slowAnswers.retainAll(unreported.keySet());
     pools.keySet().retainAll(limits.keySet());
-    vouchedTo.keySet().retainAll(limits.keySet());
+    link.retainAll(limits.keySet());
     limits.keySet().forEach(id -> pools.computeIfAbsent(id, key -> new PermitPool()));
+    unreported.forEach((id, upstream) -> pools.get(id).unreported(upstream));
+  }
+
+  /** Replaces the daemons of the list, those that are leaving among them. */
+  public void listed(List<VmId> vms) {
+    owner.listed(vms);
   }
 
   /** Replaces the live daemons, this one among them. */
@@ -115,7 +131,11 @@
     if (pool == null) {
       return true;
     }
-    if (pool.tryStart(time.nowMillis())) {
+    long now = time.nowMillis();
+    if (pool.tryStart(now)) {
+      if (pool.isWarmthEnding(now, settings.warmMillis())) {
+        ask(upstream, pool, 0);
+      }
       return true;
     }
     ask(upstream, pool, 1);
@@ -134,7 +154,7 @@
     if (pool != null) {
       List<Long> returned = pool.end();
       if (!returned.isEmpty()) {
-        tell(upstream, pool, 0, 0, 0, returned);
+        link.tell(upstream, pool, 0, 0, 0, returned);
       }
     }
   }
@@ -145,21 +165,24 @@
     if (pool == null) {
       return;
     }
-    boolean slow = monitor.isSlow(firstTokenMillis);
+    boolean slow = slowAnswers.isSlow(upstream, pool.isUnreported(), firstTokenMillis);
     if (slow) {
-      tell(upstream, pool, 0, 0, 1, List.of());
+      link.tell(upstream, pool, 0, 0, 1, List.of());
     } else if (!pool.isWarm()) {
-      tell(upstream, pool, 1, 0, 0, List.of());
+      link.tell(upstream, pool, 1, 0, 0, List.of());
     } else {
-      vouch(upstream, pool);
+      link.vouch(upstream, pool);
     }
   }
 
   /** Notes that the upstream failed a request; called once a request, before it leaves. */
   public void failed(UpstreamId upstream) {
     PermitPool pool = pools.get(upstream);
+    if (pool != null && pool.isUnreported()) {
+      pool.failed();
+    }
     if (pool != null && !pool.isWarm()) {
-      tell(upstream, pool, 0, 1, 0, List.of());
+      link.tell(upstream, pool, 0, 1, 0, List.of());
     }
   }
 
@@ -167,7 +190,8 @@
   public void receive(VmId from, AdmissionMessage message) {
     switch (message) {
       case Grant grant -> granted(grant);
-      case Warm warm when warm.asker() == asker -> warmed(warm);
+      case Ask ask when ask.asker() == CENSUS -> count(from, ask);
+      case Warm warm when warm.asker() == link.asker() -> warmed(warm);
       case TurnedCold notice -> fanOut.receive(notice);
       default -> owner.receive(from, message);
     }
@@ -178,68 +202,57 @@
     return new AdmissionView(pools, owner);
   }
 
+  private void count(VmId from, Ask question) {
+    PermitPool pool = pools.getOrDefault(question.upstream(), new PermitPool());
+    pool.expireWarmth(time.nowMillis());
+    link.answerCensus(from, question, pool);
+  }
+
   private void ask(UpstreamId upstream, PermitPool pool, int permits) {
-    long now = time.nowMillis();
-    Optional<VmId> to = owners.ownerOf(resource(upstream));
-    boolean mayAsk = asksLeft > 0 && pool.mayAsk(now, settings.askTimeoutMillis());
-    if (to.isEmpty() || !mayAsk) {
-      return;
-    }
-    asksLeft--;
-    long number = nextNumber++;
-    long abandonedFrom = pool.asked(number, now);
-    sendOrReceive(
-        to.get(), new Ask(upstream, pool.incarnation(), asker, number, abandonedFrom, permits));
+    link.ask(upstream, pool, permits, time.nowMillis(), settings.askTimeoutMillis());
   }
 
   private void granted(Grant grant) {
     PermitPool pool = pools.get(grant.upstream());
-    boolean mine = grant.asker() == asker && pool != null;
+    boolean mine = grant.asker() == link.asker() && pool != null;
     if (mine && pool.closeQuestion(grant.number())) {
+      if (pool.isUnreported()) {
+        pool.cold();
+      }
       if (grant.permits() == 0) {
         pool.refused(time.nowMillis());
       }
       List<Long> older = pool.grant(grant, settings.clockRateTolerance());
       if (!older.isEmpty()) {
-        tell(grant.upstream(), pool, 0, 0, 0, older);
+        link.tell(grant.upstream(), pool, 0, 0, 0, older);
       }
     }
   }
 
   private void warmed(Warm warm) {
     PermitPool pool = pools.get(warm.upstream());
-    if (pool != null && pool.closeQuestion(warm.number())) {
+    if (pool == null || !pool.closeQuestion(warm.number())) {
+      return;
+    }
+    if (!pool.isUnreported()) {
       pool.warm(pool.incarnation() == warm.upstreamIncarnation());
+    } else if (pool.isFailureUntold()) {
+      link.tell(warm.upstream(), pool, 0, 1, 0, List.of());
+    } else {
+      pool.warmFor((long) (settings.warmMillis() * (1 - settings.clockRateTolerance())));
     }
   }
 
   private void turnedCold(TurnedCold notice) {
     PermitPool pool = pools.get(notice.upstream());
     if (pool != null && pool.incarnation() == notice.upstreamIncarnation()) {
-      pool.warm(false);
-    }
-  }
-
-  private void vouch(UpstreamId upstream, PermitPool pool) {
-    Optional<VmId> to = owners.ownerOf(resource(upstream));
-    if (to.isPresent() && !to.get().equals(vouchedTo.put(upstream, to.get()))) {
-      Warm warm = new Warm(upstream, pool.incarnation(), 0, 0);
-      sendOrReceive(to.get(), warm);
+      pool.cold();
+      if (pool.isUnreported()) {
+        pool.voidQuestion();
+      }
     }
   }
 
-  private void tell(
-      UpstreamId upstream, PermitPool pool, int ok, int failed, int slow, List<Long> returned) {
-    Optional<VmId> to = owners.ownerOf(resource(upstream));
-    long number = nextNumber++;
-    to.ifPresent(
-        vm ->
-            sendOrReceive(
-                vm,
-                new Feedback(
-                    upstream, pool.incarnation(), asker, number, ok, failed, slow, returned)));
-  }
-
   private void refresh() {
     owner.refresh();
     final long now = time.nowMillis();
@@ -247,7 +260,7 @@
         (upstream, pool) -> {
           List<Long> expired = pool.expire(now);
           if (!expired.isEmpty()) {
-            tell(upstream, pool, 0, 0, 0, expired);
+            link.tell(upstream, pool, 0, 0, 0, expired);
           }
           if (pool.isOverdue(now, settings.askTimeoutMillis())) {
             ask(upstream, pool, 0);
@@ -257,15 +270,7 @@
 
   private void answer(VmId to, PeerMessage message) {
     if (message instanceof AdmissionMessage admission) {
-      sendOrReceive(to, admission);
-    }
-  }
-
-  private void sendOrReceive(VmId to, AdmissionMessage message) {
-    if (to.equals(self)) {
-      receive(self, message);
-    } else {
-      transport.send(to, message);
+      link.send(to, admission);
     }
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/admission/ColdUpstream.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/ColdUpstream.java
@@ -11,10 +11,10 @@
  * and the level never exceeds the upstream's cold limit. Confined to the coordination thread.
  */
 final class ColdUpstream {
-  private final int coldLimit;
   private final AdmissionSettings settings;
   private final Map<Long, Permit> permits = new HashMap<>();
   private final Map<Long, Long> lastNumbers = new HashMap<>();
+  private int coldLimit;
   private long coldSinceMillis;
   private boolean turnedCold;
   private long incarnation;
@@ -64,6 +64,17 @@
     }
   }
 
+  /** Takes over that nothing runs but what the permits out stand for. */
+  void inheritNothing() {
+    inherited = 0;
+  }
+
+  /** Replaces the cold limit; permits that are out stay out. */
+  void coldLimit(int limit) {
+    coldLimit = limit;
+    level = Math.min(level, limit);
+  }
+
   /** Begins again with a new process, to which some daemons may have sent already. */
   void restart(long newIncarnation, long nowMillis) {
     incarnation = newIncarnation;
--- a/coordination/src/main/java/org/ragworttide/coordination/admission/FirstTokenMonitor.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/FirstTokenMonitor.java
@@ -13,11 +13,14 @@
   private static final double STEP = 0.2;
 
   private final double slowFactor;
+  private final long floorMillis;
   private double quantileMillis;
   private long samples;
 
-  FirstTokenMonitor(double slowFactor) {
+  /** Creates a monitor for which no answer that begins before the floor is slow. */
+  FirstTokenMonitor(double slowFactor, long floorMillis) {
     this.slowFactor = slowFactor;
+    this.floorMillis = floorMillis;
   }
 
   /** Takes a time to the first token and tells whether it is slow. */
@@ -28,7 +31,7 @@
       quantileMillis = Math.max(quantileMillis, millis);
       return false;
     }
-    boolean slow = millis > slowFactor * quantileMillis;
+    boolean slow = millis > slowFactor * quantileMillis && millis > floorMillis;
     if (millis > quantileMillis) {
       quantileMillis *= 1 + STEP * QUANTILE * (slow ? 0.1 : 1);
     } else {
--- a/coordination/src/main/java/org/ragworttide/coordination/admission/PermitOwner.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/PermitOwner.java
@@ -32,6 +32,8 @@
   private final Map<UpstreamId, Owned> owned = new HashMap<>();
   private final Map<UpstreamId, Long> incarnations = new HashMap<>();
   private Map<UpstreamId, Integer> coldLimits = Map.of();
+  private Map<UpstreamId, UnreportedUpstream> unreported = Map.of();
+  private List<VmId> listed = List.of();
 
   PermitOwner(
       TimerService time,
@@ -49,14 +51,41 @@
   }
 
   void coldLimits(Map<UpstreamId, Integer> limits) {
+    coldLimits(limits, Map.of());
+  }
+
+  void coldLimits(
+      Map<UpstreamId, Integer> limits, Map<UpstreamId, UnreportedUpstream> withoutReports) {
     coldLimits = Map.copyOf(limits);
+    unreported = Map.copyOf(withoutReports);
     owned.keySet().retainAll(coldLimits.keySet());
     incarnations.keySet().retainAll(coldLimits.keySet());
+    owned.forEach((upstream, entry) -> entry.state.coldLimit(permitLimit(upstream)));
+  }
+
+  /** Replaces the daemons that are listed, those that are leaving among them. */
+  void listed(List<VmId> vms) {
+    listed = List.copyOf(vms);
+    owned.values().forEach(entry -> entry.census.listed(listed));
   }
 
   /** Keeps what is known of owned upstreams alive while their leases last. */
   void refresh() {
-    List.copyOf(owned.keySet()).forEach(this::current);
+    for (UpstreamId upstream : List.copyOf(owned.keySet())) {
+      Owned entry = current(upstream);
+      if (entry != null) {
+        count(upstream, entry);
+      }
+    }
+  }
+
+  /** Asks daemons what they run at a cold upstream that does not report it itself. */
+  private void count(UpstreamId upstream, Owned entry) {
+    if (unreported.containsKey(upstream) && !entry.state.isWarm()) {
+      long number = entry.episode;
+      Ask question = new Ask(upstream, 0, ColdAdmission.CENSUS, number, number, 0);
+      entry.census.next().forEach(vm -> transport.send(vm, question));
+    }
   }
 
   void report(UpstreamId upstream, long incarnation, long measuredAtMillis, long load) {
@@ -123,10 +152,18 @@
     }
     ColdUpstream state = entry.state;
     feedback.returned().forEach(state::giveBack);
+    if (feedback.returned().contains(entry.episode)) {
+      counted(from, entry);
+    }
     boolean sameProcess = feedback.upstreamIncarnation() == state.incarnation();
     if (!sameProcess || !state.isNew(feedback.asker(), feedback.number())) {
       return;
     }
+    boolean lost = feedback.failed() > 0 && unreported.containsKey(feedback.upstream());
+    if (lost && state.isWarm()) {
+      turnCold(feedback.upstream(), entry);
+      return;
+    }
     state.feedback(feedback.succeeded(), feedback.failed());
     if (feedback.slow() > 0) {
       if (state.showsCold(feedback.slow(), time.nowMillis())) {
@@ -137,9 +174,21 @@
     }
   }
 
+  private static void counted(VmId from, Owned entry) {
+    entry.census.answered(from);
+    if (entry.census.isComplete()) {
+      entry.state.inheritNothing();
+    }
+  }
+
   private void vouch(VmId from, Warm vouch) {
     Owned entry = open(vouch.upstream());
     if (entry != null) {
+      boolean unasked = vouch.number() != entry.episode;
+      if (unasked && unreported.containsKey(vouch.upstream())) {
+        // Only an answer to this lease's census is surely newer than the last cold turn.
+        return;
+      }
       entry.state.vouch(vouch.upstreamIncarnation());
       correct(from, vouch.upstream(), entry);
     }
@@ -148,7 +197,9 @@
   private void turnCold(UpstreamId upstream, Owned entry) {
     entry.state.turnCold(time.nowMillis());
     entry.episode = random.nextLong();
+    entry.census.begin();
     fanOut.start(new TurnedCold(upstream, entry.state.incarnation(), entry.episode, true));
+    count(upstream, entry);
   }
 
   /** Repeats to a single daemon that the upstream has turned cold, if it has. */
@@ -168,15 +219,33 @@
       return entry;
     }
     long incarnation = incarnations.getOrDefault(upstream, 0L);
-    Owned begun =
-        new Owned(
-            new ColdUpstream(
-                coldLimit, incarnation, random.nextLong() >>> 1, settings, time.nowMillis()),
-            until.getAsLong());
+    ColdUpstream state =
+        new ColdUpstream(
+            permitLimit(upstream),
+            incarnation,
+            random.nextLong() >>> 1,
+            settings(upstream),
+            time.nowMillis());
+    Owned begun = new Owned(state, until.getAsLong(), random.nextLong());
     owned.put(upstream, begun);
+    begun.census.listed(listed);
+    count(upstream, begun);
     return begun;
   }
 
+  private int permitLimit(UpstreamId upstream) {
+    UnreportedUpstream plain = unreported.get(upstream);
+    return coldLimits.get(upstream) - (plain == null ? 0 : plain.reserved());
+  }
+
+  private AdmissionSettings settings(UpstreamId upstream) {
+    UnreportedUpstream plain = unreported.get(upstream);
+    // A daemon that is not reached may take the upstream for warm until its word for it runs out.
+    return plain == null
+        ? settings
+        : settings.withMaxRunMillis(settings.warmMillis() + plain.longestRunMillis());
+  }
+
   private Owned current(UpstreamId upstream) {
     Owned entry = owned.get(upstream);
     if (entry == null) {
@@ -195,12 +264,14 @@
 
   private static final class Owned {
     private final ColdUpstream state;
+    private final Census census = new Census();
     private long ownedUntilMillis;
     private long episode;
 
-    private Owned(ColdUpstream state, long ownedUntilMillis) {
+    private Owned(ColdUpstream state, long ownedUntilMillis, long episode) {
       this.state = state;
       this.ownedUntilMillis = ownedUntilMillis;
+      this.episode = episode;
     }
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/admission/PermitPool.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/PermitPool.java
@@ -27,7 +27,22 @@
   private long refusedAtMillis = Long.MIN_VALUE;
   private boolean warm;
   private long incarnation;
-  private int warmRunning;
+  private int uncovered;
+  private boolean unreported;
+  private int share;
+  private long warmUntilMillis = Long.MAX_VALUE;
+  private boolean questionVoid;
+  private boolean failureUntold;
+
+  /** Takes over what holds for an upstream that publishes no load. */
+  void unreported(UnreportedUpstream upstream) {
+    unreported = true;
+    share = upstream.share();
+  }
+
+  boolean isUnreported() {
+    return unreported;
+  }
 
   boolean isWarm() {
     return warm;
@@ -49,10 +64,53 @@
     warm = nowWarm;
   }
 
-  /** Starts a request if the upstream is warm or a valid permit is left. */
+  /** Takes the owner's word for warm, for a time counted from when it was asked. */
+  void warmFor(long millis) {
+    warm = true;
+    warmUntilMillis = askedAtMillis + millis;
+  }
+
+  /** Takes over that the owner holds the upstream for cold, so that it knows of any failure. */
+  void cold() {
+    warm = false;
+    failureUntold = false;
+  }
+
+  /** Notes a failure, after which the upstream is cold here until the owner knows of it. */
+  void failed() {
+    warm = false;
+    failureUntold = true;
+  }
+
+  boolean isFailureUntold() {
+    return failureUntold;
+  }
+
+  /** Tells whether to ask the owner again before the upstream counts as cold. */
+  boolean isWarmthEnding(long nowMillis, long warmMillis) {
+    return unreported && warm && nowMillis >= warmUntilMillis - warmMillis / 2;
+  }
+
+  /** Takes the upstream for cold once the owner's word for warm has run out. */
+  void expireWarmth(long nowMillis) {
+    warm = warm && nowMillis < warmUntilMillis;
+  }
+
+  /** Tells whether nothing runs here but what the daemon's share allows. */
+  boolean isQuiet() {
+    return !warm && uncovered <= share && running.isEmpty();
+  }
+
+  /** Keeps an answer to the open question from being used. */
+  void voidQuestion() {
+    questionVoid = true;
+  }
+
+  /** Starts a request if the upstream is warm or a place in the share or a permit is left. */
   boolean tryStart(long nowMillis) {
-    if (warm) {
-      warmRunning++;
+    expireWarmth(nowMillis);
+    if (warm || uncovered < share) {
+      uncovered++;
       return true;
     }
     if (nowMillis >= expiresAtMillis || unused.isEmpty()) {
@@ -67,8 +125,8 @@
    * first, so that no permit is given back too early.
    */
   List<Long> end() {
-    if (warmRunning > 0 || running.isEmpty()) {
-      warmRunning--;
+    if (uncovered > 0 || running.isEmpty()) {
+      uncovered = Math.max(0, uncovered - 1);
       return List.of();
     }
     return List.of(running.poll());
@@ -86,6 +144,7 @@
   long asked(long number, long nowMillis) {
     abandonedFrom = question == NO_QUESTION ? number : abandonedFrom;
     question = number;
+    questionVoid = false;
     askedAtMillis = nowMillis;
     return abandonedFrom;
   }
@@ -97,7 +156,7 @@
 
   /** Tells whether the answer is to the open question, and closes it. */
   boolean closeQuestion(long number) {
-    boolean open = question != NO_QUESTION && question == number;
+    boolean open = question != NO_QUESTION && question == number && !questionVoid;
     if (open) {
       question = NO_QUESTION;
     }
@@ -120,7 +179,8 @@
   List<Long> grant(Grant grant, double clockRateTolerance) {
     final List<Long> older = List.copyOf(unused);
     unused.clear();
-    emptyGrants = grant.permits() > 0 ? 0 : Math.min(MAX_EMPTY_GRANTS, emptyGrants + 1);
+    int mostEmpty = unreported ? 1 : MAX_EMPTY_GRANTS;
+    emptyGrants = grant.permits() > 0 ? 0 : Math.min(mostEmpty, emptyGrants + 1);
     expiresAtMillis = askedAtMillis + (long) (grant.validMillis() * (1 - clockRateTolerance));
     for (int i = 0; i < grant.permits(); i++) {
       unused.add(grant.firstPermit() + i);
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/admission/ServiceFixture.java
@@ -0,0 +1,208 @@
+package org.ragworttide.coordination.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.AdmissionMessage;
+import org.ragworttide.coordination.message.Transport;
+import org.ragworttide.coordination.net.FakeNetwork;
+import org.ragworttide.coordination.net.VmClock;
+import org.ragworttide.coordination.time.ManualTimerService;
+
+/**
+ * A fleet of admission parts, each with its own clock, before one plain service that publishes no
+ * load; for one thread.
+ */
+final class ServiceFixture {
+  static final UpstreamId SERVICE = new UpstreamId("bookings");
+  static final int DAEMONS = 4;
+  static final int COLD_LIMIT = 16;
+  static final long LONGEST_RUN_MILLIS = 5_000;
+  static final UnreportedUpstream UNREPORTED =
+      UnreportedUpstream.of(COLD_LIMIT, DAEMONS, LONGEST_RUN_MILLIS);
+
+  /** What may run before an answer has begun: the first level of permits, and all shares. */
+  static final int FIRST_BOUND = (COLD_LIMIT - UNREPORTED.reserved() + 3) / 4 + 4;
+
+  final ManualTimerService time = new ManualTimerService();
+  final SplittableRandom random;
+  final FakeNetwork network;
+  final List<ColdAdmission> fleet = new ArrayList<>();
+  final List<VmClock> clocks = new ArrayList<>();
+  final List<Running> running = new ArrayList<>();
+  boolean down;
+  boolean answering = true;
+  long firstByteMillis = 20;
+  int highest;
+  private int owner;
+  private long ownedUntilMillis;
+
+  ServiceFixture(long seed) {
+    random = new SplittableRandom(seed);
+    network = new FakeNetwork(time, seed);
+    time.advance(1_000_000);
+    for (int i = 0; i < DAEMONS; i++) {
+      fleet.add(null);
+      clocks.add(null);
+      startDaemon(i);
+    }
+  }
+
+  static VmId vm(int index) {
+    return new VmId("vm-" + (index + 100));
+  }
+
+  /** Starts a daemon anew; the connections of an earlier run of it are closed. */
+  void startDaemon(int index) {
+    if (clocks.get(index) != null) {
+      clocks.get(index).stop();
+      running.removeIf(request -> request.daemon == index);
+    }
+    VmClock clock = new VmClock(time, random.nextLong(-5_000, 5_000), random.nextLong(1_000_000));
+    clocks.set(index, clock);
+    List<ColdAdmission> self = new ArrayList<>();
+    Transport transport =
+        network.connect(
+            vm(index),
+            clock.guard((from, m) -> self.getFirst().receive(from, (AdmissionMessage) m)));
+    self.add(
+        new ColdAdmission(
+            vm(index),
+            clock,
+            new View(index, clock),
+            transport,
+            AdmissionSettings.DEFAULTS,
+            random.nextLong()));
+    fleet.set(index, self.getFirst());
+    self.getFirst().coldLimits(Map.of(SERVICE, COLD_LIMIT), Map.of(SERVICE, UNREPORTED));
+    List<VmId> vms = List.of(vm(0), vm(1), vm(2), vm(3));
+    self.getFirst().members(vms);
+    self.getFirst().listed(vms);
+  }
+
+  /** Gives the lease to a daemon; the earlier one must have ended. */
+  void own(int index, long millis) {
+    if (index != owner && time.nowMillis() < ownedUntilMillis) {
+      throw new IllegalStateException("two owners at once");
+    }
+    owner = index;
+    ownedUntilMillis = time.nowMillis() + millis;
+  }
+
+  boolean isOwned() {
+    return time.nowMillis() < ownedUntilMillis;
+  }
+
+  /** Tries to send a request at a daemon that is not paused, and tells whether it was sent. */
+  boolean tryStart(int daemon, long runMillis) {
+    ColdAdmission admission = fleet.get(daemon);
+    if (!clocks.get(daemon).isRunning() || !admission.tryEnter(SERVICE)) {
+      return false;
+    }
+    if (down) {
+      admission.failed(SERVICE);
+      admission.leave(SERVICE);
+      return true;
+    }
+    Running request = new Running(daemon, admission);
+    running.add(request);
+    highest = Math.max(highest, running.size());
+    if (answering && firstByteMillis < runMillis) {
+      time.after(firstByteMillis, () -> answer(request));
+    }
+    time.after(runMillis, () -> end(request));
+    return true;
+  }
+
+  private void answer(Running request) {
+    if (running.contains(request)) {
+      tell(request, () -> request.admission.answered(SERVICE, firstByteMillis));
+    }
+  }
+
+  private void end(Running request) {
+    if (running.remove(request)) {
+      tell(request, () -> request.admission.leave(SERVICE));
+    }
+  }
+
+  /** Breaks the service off: what runs fails, and nothing connects until it is started. */
+  void stopService() {
+    down = true;
+    for (Running request : List.copyOf(running)) {
+      running.remove(request);
+      tell(request, () -> request.admission.failed(SERVICE));
+      tell(request, () -> request.admission.leave(SERVICE));
+    }
+  }
+
+  void startService() {
+    down = false;
+    highest = 0;
+  }
+
+  /** Sends wherever it is admitted for a while, the lease renewed each second. */
+  void run(long millis, int leaseholder) {
+    for (long t = 0; t < millis; t += 10) {
+      if (t % 1_000 == 0) {
+        own(leaseholder, 3_000);
+      }
+      tryStart(random.nextInt(DAEMONS), 100 + random.nextLong(LONGEST_RUN_MILLIS - 200));
+      time.advance(10);
+    }
+  }
+
+  /** Goes on until the lease has run out. */
+  void letLeaseEnd() {
+    while (isOwned()) {
+      tryStart(random.nextInt(DAEMONS), 100 + random.nextLong(LONGEST_RUN_MILLIS - 200));
+      time.advance(10);
+    }
+  }
+
+  boolean allWarm() {
+    return fleet.stream().allMatch(admission -> admission.view().isWarm(SERVICE));
+  }
+
+  private void tell(Running request, Runnable task) {
+    clocks.get(request.daemon).guard((from, message) -> task.run()).accept(null, null);
+  }
+
+  /** One request in flight; each is its own. */
+  static final class Running {
+    final int daemon;
+    final ColdAdmission admission;
+
+    Running(int daemon, ColdAdmission admission) {
+      this.daemon = daemon;
+      this.admission = admission;
+    }
+  }
+
+  private final class View implements OwnerView {
+    private final int self;
+    private final VmClock clock;
+
+    private View(int self, VmClock clock) {
+      this.self = self;
+      this.clock = clock;
+    }
+
+    @Override
+    public Optional<VmId> ownerOf(String resource) {
+      return isOwned() ? Optional.of(vm(owner)) : Optional.empty();
+    }
+
+    @Override
+    public OptionalLong ownedUntilMillis(String resource) {
+      return self == owner && isOwned()
+          ? OptionalLong.of(clock.localAt(ownedUntilMillis))
+          : OptionalLong.empty();
+    }
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Policies.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Policies.java
@@ -10,8 +10,10 @@
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.limits.RateLimit;
 import org.ragworttide.coordination.routing.ZoneState;
+import org.ragworttide.daemon.relay.RelaySettings;
 import org.ragworttide.document.ConfigurationDocument;
 import org.ragworttide.document.ConfigurationDocument.Organisation;
+import org.ragworttide.document.ConfigurationDocument.Route;
 import org.ragworttide.document.ConfigurationDocument.Service;
 import org.ragworttide.document.ConfigurationDocument.Upstream;
 import org.ragworttide.document.ConfigurationDocument.UpstreamKind;
@@ -32,7 +34,11 @@
 
   static FleetPolicy policy(ConfigurationDocument document) {
     return new FleetPolicy(
-        rates(document), coldLimits(document), UpstreamSpecs.of(document), zones(document));
+        rates(document),
+        coldLimits(document),
+        longestRunsMillis(document),
+        UpstreamSpecs.of(document),
+        zones(document));
   }
 
   private static Map<OrganisationId, RateLimit> rates(ConfigurationDocument document) {
@@ -48,14 +54,32 @@
   private static Map<UpstreamId, Integer> coldLimits(ConfigurationDocument document) {
     Map<UpstreamId, Integer> limits = new HashMap<>();
     for (Upstream upstream : document.upstreams()) {
-      // Plain services publish no load, without which warmth can't be told.
-      if (upstream.kind() == UpstreamKind.ENGINE) {
-        limits.put(new UpstreamId(upstream.id()), upstream.coldConcurrency());
-      }
+      limits.put(new UpstreamId(upstream.id()), upstream.coldConcurrency());
     }
     return limits;
   }
 
+  /** Plain services publish no load, so that only their requests' ends tell what runs there. */
+  private static Map<UpstreamId, Long> longestRunsMillis(ConfigurationDocument document) {
+    Map<UpstreamId, Long> runs = new HashMap<>();
+    for (Upstream upstream : document.upstreams()) {
+      if (upstream.kind() == UpstreamKind.SERVICE) {
+        runs.put(new UpstreamId(upstream.id()), longestRunMillis(document, upstream.id()));
+      }
+    }
+    return runs;
+  }
+
+  private static long longestRunMillis(ConfigurationDocument document, String upstream) {
+    long windowMillis =
+        document.routes().stream()
+            .filter(route -> route.upstreams().contains(upstream))
+            .mapToLong(Route::windowMillis)
+            .max()
+            .orElse(0);
+    return windowMillis + RelaySettings.defaults().lateAnswerMillis();
+  }
+
   private static Map<ZoneId, ZoneState> zones(ConfigurationDocument document) {
     Map<ZoneId, ZoneState> states = new HashMap<>();
     for (Zone zone : document.zones()) {
