--- a/coordination/src/test/java/org/ragworttide/coordination/OrderFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/OrderFleet.java
@@ -185,7 +185,8 @@
     if (version > versions.getOrDefault(part, 0L)) {
       versions.put(part, version);
       FleetPolicy policy =
-          new FleetPolicy(Map.of(), Map.of(), List.of(), Map.of(), policies.get((int) version - 1));
+          new FleetPolicy(
+              Map.of(), Map.of(), Map.of(), List.of(), Map.of(), policies.get((int) version - 1));
       timers.get(part).run(() -> part.apply(policy));
     }
   }
--- a/coordination/src/test/java/org/ragworttide/coordination/routing/LoadTotalsTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/routing/LoadTotalsTest.java
@@ -121,7 +121,7 @@
     RouteRequest request = new RouteRequest(chat, model, new OrganisationId("org"), tried);
     List<UpstreamTracker> open = new ArrayList<>();
     for (UpstreamTracker tracker : state.trackers()) {
-      if (tracker.spec().models().contains(model) && tracker.isOpen()) {
+      if (tracker.spec().models().contains(model) && tracker.isOpenFor(model)) {
         open.add(tracker);
       }
     }
