Test the sums of the mean load with engines that lack a model

The merge of orders to engines and of the kept-up sums needs the sums to follow what an engine reports to have loaded.

--- a/coordination/src/test/java/org/ragworttide/coordination/routing/LoadTotalsTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/routing/LoadTotalsTest.java
@@ -71,6 +71,8 @@
       case 3 -> time.advance(random.nextLong(SETTINGS.rampMillis()));
       case 4 -> time.advance(random.nextLong(SETTINGS.reportStaleMillis()));
       case 5 -> report(random.nextLong(3));
+      case 6 -> facts.lacking(id(random.nextInt(ENGINES)), Set.of(OTHER_MODEL));
+      case 7 -> facts.lacking(id(random.nextInt(ENGINES)), Set.of());
       default -> changeLoads();
     }
   }
