Ask other engines for each chat when a request finds no place

Cause of the 10,213 bytes in the worst second after a restart of everything: not the first second (2,370) but the seventh. A request that found no place on its walk asked all engines from the least loaded on, and reports show all daemons the same least loaded ones: one owner sent 221 empty answers in that second, and 28 daemons passed 4,096 bytes. One such request also used up the daemon's ten questions a second.

Now a place that needs no question is taken at the least loaded engine; if there is none, eight engines are asked, beginning at the chat's own place in that order. Ruled out by that count: a delay before first questions, a time to wait in the answer, several answers in one message.

On a scratch copy that asked from the least loaded on and in every entry, fewChatsAskForTheLeastLoadedUpstream (454 of 400 chats' questions) and entryWithoutAskingSendsNoQuestionAndStartsNothingCold failed.

--- a/coordination/src/main/java/org/ragworttide/coordination/admission/ColdAdmission.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/ColdAdmission.java
@@ -115,13 +115,19 @@
     if (pool == null) {
       return true;
     }
-    if (pool.tryStart(time.nowMillis())) {
+    if (tryEnterWithoutAsking(upstream)) {
       return true;
     }
     ask(upstream, pool, 1);
     return false;
   }
 
+  @Override
+  public boolean tryEnterWithoutAsking(UpstreamId upstream) {
+    PermitPool pool = pools.get(upstream);
+    return pool == null || pool.tryStart(time.nowMillis());
+  }
+
   @Override
   public boolean isDeciding(UpstreamId upstream) {
     PermitPool pool = pools.get(upstream);
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/CombinedGate.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/CombinedGate.java
@@ -1,6 +1,7 @@
 package org.ragworttide.coordination.routing;
 
 import java.util.List;
+import java.util.function.Predicate;
 import org.ragworttide.coordination.id.UpstreamId;
 
 /**
@@ -18,8 +19,17 @@
 
   @Override
   public boolean tryEnter(UpstreamId upstream) {
+    return enterAll(upstream, gate -> gate.tryEnter(upstream));
+  }
+
+  @Override
+  public boolean tryEnterWithoutAsking(UpstreamId upstream) {
+    return enterAll(upstream, gate -> gate.tryEnterWithoutAsking(upstream));
+  }
+
+  private boolean enterAll(UpstreamId upstream, Predicate<UpstreamGate> enter) {
     for (int i = 0; i < gates.size(); i++) {
-      if (!gates.get(i).tryEnter(upstream)) {
+      if (!enter.test(gates.get(i))) {
         leaveFirst(i, upstream);
         return false;
       }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/Router.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/Router.java
@@ -99,19 +99,38 @@
   private RouteResult takeLeastLoaded(CandidateSet set, long key, RouteRequest request, long now) {
     int[] order = set.byLoad(key, request);
     for (int index : order) {
-      Slot slot = take(set, index, key, now);
-      if (slot != null) {
-        return new RouteResult.Chosen(slot);
+      if (gate.tryEnterWithoutAsking(set.tracker(index).spec().id())) {
+        return new RouteResult.Chosen(start(set, index, key, now));
       }
     }
+    Slot slot = askSome(set, order, key, now);
+    if (slot != null) {
+      return new RouteResult.Chosen(slot);
+    }
     return refused(order.length == 0 ? RefusalReason.OVERLOADED : RefusalReason.HELD_BACK);
   }
 
+  /**
+   * Asks for places at a few upstreams, other ones for each chat: the least loaded are the same on
+   * every daemon, and their owners would be asked by all daemons at once.
+   */
+  private Slot askSome(CandidateSet set, int[] order, long key, long now) {
+    int count = Math.min(order.length, settings.walkLength());
+    int first = (int) Long.remainderUnsigned(key, Math.max(1, order.length));
+    Slot slot = null;
+    for (int i = 0; i < count && slot == null; i++) {
+      slot = take(set, order[(first + i) % order.length], key, now);
+    }
+    return slot;
+  }
+
   private Slot take(CandidateSet set, int index, long key, long now) {
+    boolean entered = gate.tryEnter(set.tracker(index).spec().id());
+    return entered ? start(set, index, key, now) : null;
+  }
+
+  private Slot start(CandidateSet set, int index, long key, long now) {
     UpstreamTracker tracker = set.tracker(index);
-    if (!gate.tryEnter(tracker.spec().id())) {
-      return null;
-    }
     Slot slot = new Slot(tracker, gate, state.chats(), key, now);
     tracker.add(slot);
     state.chats().started(key);
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamGate.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamGate.java
@@ -6,17 +6,22 @@
 /**
  * Holds requests back from single upstreams, such as cold or failing ones.
  *
- * <p>Invariant: each successful {@link #tryEnter} is followed by one {@link #leave}. Confined to
- * the coordination thread.
+ * <p>Invariant: each successful {@link #tryEnter} or {@link #tryEnterWithoutAsking} is followed by
+ * one {@link #leave}. Confined to the coordination thread.
  */
 public interface UpstreamGate {
 
   /** Admits all requests. */
   UpstreamGate OPEN = all(List.of());
 
-  /** Takes a place at the upstream, if it has one for this daemon. */
+  /** Takes a place at the upstream, or asks for one elsewhere if this daemon has none. */
   boolean tryEnter(UpstreamId upstream);
 
+  /** Takes a place at the upstream if this daemon has one; asks for none. */
+  default boolean tryEnterWithoutAsking(UpstreamId upstream) {
+    return tryEnter(upstream);
+  }
+
   /** Gives the place at the upstream back. */
   void leave(UpstreamId upstream);
 
--- a/coordination/src/test/java/org/ragworttide/coordination/admission/ColdAdmissionTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/admission/ColdAdmissionTest.java
@@ -55,6 +55,17 @@
     assertTrue(f.highest <= COLD_LIMIT, f.highest + " in flight, seed " + seed);
   }
 
+  @Test
+  public void entryWithoutAskingSendsNoQuestionAndStartsNothingCold() {
+    AdmissionFixture f = new AdmissionFixture(DAEMONS, 1);
+    f.own(0, LEASE_MILLIS);
+    final long before = f.network.sent();
+    assertFalse(f.fleet.get(1).tryEnterWithoutAsking(ENGINE));
+    assertEquals(f.network.sent(), before);
+    assertFalse(f.fleet.get(1).tryEnter(ENGINE));
+    assertEquals(f.network.sent(), before + 1);
+  }
+
   private static void letLeaseEnd(AdmissionFixture f) {
     while (f.time.nowMillis() < f.ownedUntilMillis()) {
       f.tryStart(f.random.nextInt(DAEMONS), 3_000);
--- a/coordination/src/test/java/org/ragworttide/coordination/retry/RetryTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/retry/RetryTest.java
@@ -156,7 +156,8 @@
     UpstreamGate gate = UpstreamGate.all(List.of(first, second));
     assertTrue(gate.tryEnter(ENGINE));
     assertFalse(gate.tryEnter(ENGINE));
+    assertFalse(gate.tryEnterWithoutAsking(ENGINE));
     gate.leave(ENGINE);
-    assertTrue(gate.tryEnter(ENGINE));
+    assertTrue(gate.tryEnterWithoutAsking(ENGINE));
   }
 }
--- a/coordination/src/test/java/org/ragworttide/coordination/routing/RouterTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/routing/RouterTest.java
@@ -12,6 +12,7 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -192,6 +193,34 @@
     assertEquals(reason(router.route(other)), RefusalReason.NO_UPSTREAM);
   }
 
+  @Test
+  public void fewChatsAskForTheLeastLoadedUpstream() {
+    AskedGate gate = new AskedGate();
+    RouterFixture fleet = new RouterFixture(1, gate);
+    Router router = fleet.routers.getFirst();
+    int engines = 60;
+    router.facts().upstreams(specs(engines));
+    for (int engine = 0; engine < engines; engine++) {
+      fleet.report(engine, 1, engine == 0 ? 0 : 10);
+    }
+    for (int chat = 0; chat < CHATS; chat++) {
+      assertEquals(reason(router.route(request("chat-" + chat))), RefusalReason.HELD_BACK);
+    }
+    int evenly = 2 * RouterSettings.DEFAULTS.walkLength() * CHATS / engines;
+    assertTrue(gate.asked.get(id(0)) <= 2 * evenly, "asked " + gate.asked.get(id(0)) + " times");
+  }
+
+  @Test
+  public void placeThatNeedsNoQuestionIsTakenAtLeastLoadedUpstream() {
+    AskedGate gate = new AskedGate();
+    gate.open.add(id(5));
+    RouterFixture fleet = new RouterFixture(1, gate);
+    for (int chat = 0; chat < CHATS; chat++) {
+      UpstreamId place = place(fleet.routers.getFirst(), "chat-" + chat);
+      assertEquals(place, id(5));
+    }
+  }
+
   @Test
   public void impossibleFactsAreCountedAndIgnored() {
     RouterFixture fleet = new RouterFixture(1);
@@ -244,6 +273,25 @@
     return ((RouteResult.Refused) result).reason();
   }
 
+  private static final class AskedGate implements UpstreamGate {
+    final Map<UpstreamId, Integer> asked = new HashMap<>();
+    final Set<UpstreamId> open = new HashSet<>();
+
+    @Override
+    public boolean tryEnter(UpstreamId upstream) {
+      asked.merge(upstream, 1, Integer::sum);
+      return tryEnterWithoutAsking(upstream);
+    }
+
+    @Override
+    public boolean tryEnterWithoutAsking(UpstreamId upstream) {
+      return open.contains(upstream);
+    }
+
+    @Override
+    public void leave(UpstreamId upstream) {}
+  }
+
   private static final class ClosedGate implements UpstreamGate {
     @Override
     public boolean tryEnter(UpstreamId upstream) {
