--- a/coordination/src/main/java/org/ragworttide/coordination/admission/ColdAdmission.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/ColdAdmission.java
@@ -131,9 +131,8 @@
     if (pool == null) {
       return true;
     }
-    long now = time.nowMillis();
-    if (pool.tryStart(now)) {
-      if (pool.isWarmthEnding(now, settings.warmMillis())) {
+    if (tryEnterWithoutAsking(upstream)) {
+      if (pool.isWarmthEnding(time.nowMillis(), settings.warmMillis())) {
         ask(upstream, pool, 0);
       }
       return true;
@@ -142,6 +141,12 @@
     return false;
   }
 
+  @Override
+  public boolean tryEnterWithoutAsking(UpstreamId upstream) {
+    PermitPool pool = pools.get(upstream);
+    return pool == null || pool.tryStart(time.nowMillis());
+  }
+
   @Override
   public boolean isDeciding(UpstreamId upstream) {
     PermitPool pool = pools.get(upstream);
