--- a/bench/src/main/java/org/ragworttide/bench/path/ChatCall.java
+++ b/bench/src/main/java/org/ragworttide/bench/path/ChatCall.java
@@ -43,7 +43,7 @@
     return Mono.defer(() -> send(client))
         .timeout(TIMEOUT)
         .onErrorResume(error -> Mono.fromRunnable(() -> answer.append(error)))
-        .doFinally(signal -> timings.ended(isWhole(), this::summary));
+        .then(Mono.fromRunnable(() -> timings.ended(isWhole(), this::summary)));
   }
 
   private Mono<Void> send(HttpClient client) {
--- a/bench/src/main/java/org/ragworttide/bench/path/PathBenchmark.java
+++ b/bench/src/main/java/org/ragworttide/bench/path/PathBenchmark.java
@@ -21,11 +21,11 @@
  */
 public final class PathBenchmark implements Benchmark {
   private static final int ROUNDS = 5;
-  private static final int WARM_UP_ROUNDS = 3;
+  private static final int WARM_UP_ROUNDS = 2;
   private static final int ROUND_REQUESTS = 750;
-  private static final int ROUND_CONCURRENCY = 16;
+  private static final int ROUND_CONCURRENCY = 64;
   private static final int ROUND_CHUNKS = 8;
-  private static final int FIRST_TOKEN_MILLIS = 20;
+  private static final int FIRST_TOKEN_MILLIS = Integer.getInteger("firstTokenMillis", 150);
   private static final int GAP_STREAMS = 200;
   private static final int GAP_CHUNKS = 150;
   private static final int GAP_CHUNK_MILLIS = 20;
