Test that every VM learns each shard's owner once failures are over

The test of the wait of losing candidates, directly at the leases: after 60 random failures and 16 s of calm with leases of 800 ms each VM must name the true owner of each shard at least once within 4 s.

--- a/coordination/src/test/java/org/ragworttide/coordination/lease/LeaseFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/lease/LeaseFleet.java
@@ -3,7 +3,9 @@
 import static org.testng.Assert.assertNull;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.ragworttide.coordination.group.GroupSize;
 import org.ragworttide.coordination.group.Shard;
 import org.ragworttide.coordination.id.Incarnation;
@@ -58,6 +60,27 @@
     }
   }
 
+  /** Asks each VM for the owner of each shard and returns where it named the true one. */
+  static Set<String> lookUpAll(Fleet<LeaseManager> fleet) {
+    Set<String> right = new HashSet<>();
+    for (VmId vm : fleet.vms()) {
+      for (int number = 0; number < Shard.COUNT; number++) {
+        Shard shard = new Shard(number);
+        boolean owned =
+            fleet
+                .part(vm)
+                .ownerOf(shard)
+                .filter(owner -> fleet.vms().contains(owner))
+                .filter(owner -> fleet.part(owner).isOwner(shard))
+                .isPresent();
+        if (owned) {
+          right.add(vm + "/" + number);
+        }
+      }
+    }
+    return right;
+  }
+
   static long owned(Fleet<LeaseManager> fleet) {
     return fleet.vms().stream().mapToLong(vm -> fleet.part(vm).owned().size()).sum();
   }
--- a/coordination/src/test/java/org/ragworttide/coordination/lease/LeaseManagerTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/lease/LeaseManagerTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.HashSet;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.ragworttide.coordination.group.Shard;
 import org.ragworttide.coordination.id.VmId;
@@ -41,6 +43,32 @@
         });
   }
 
+  @Test
+  public void everyVmLearnsEachOwnerOnceFailuresAreOver() {
+    Seeds.each(
+        seed -> {
+          Fleet<LeaseManager> fleet = LeaseFleet.create(seed, SEVEN);
+          fleet.run(LeaseFleet.START_MILLIS, STEP_MILLIS, LeaseFleet::checkOwners);
+          final Chaos chaos = new Chaos(fleet);
+          fleet.network().faults(0.1, 0.1, 60);
+          for (int strike = 0; strike < 60; strike++) {
+            chaos.strike();
+            fleet.run(fleet.random().nextInt(200), STEP_MILLIS, LeaseFleet::checkOwners);
+          }
+          chaos.calm();
+          fleet.run(4 * LeaseFleet.START_MILLIS, 50, LeaseFleet::lookUpAll);
+          Set<String> unknown = new HashSet<>();
+          fleet.vms().forEach(vm -> addAll(unknown, vm));
+          fleet.run(
+              LeaseFleet.START_MILLIS, 50, now -> unknown.removeAll(LeaseFleet.lookUpAll(now)));
+          assertEquals(unknown, Set.of(), "VMs that never learned the owner of a shard");
+        });
+  }
+
+  private static void addAll(Set<String> names, VmId vm) {
+    IntStream.range(0, Shard.COUNT).forEach(shard -> names.add(vm + "/" + shard));
+  }
+
   @Test
   public void ownersOutliveTheChangeOfOneVm() {
     Seeds.each(
