--- a/coordination/src/main/java/org/ragworttide/coordination/orders/EngineControl.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/orders/EngineControl.java
@@ -22,6 +22,7 @@
   private EngineReport last;
   private EngineState believed;
   private long newestNumber;
+  private long wantedLoaded;
   private long settledAtMillis = NEVER;
   private long notBeforeMillis = NEVER;
   private long postponedUntilMillis = NEVER;
@@ -78,6 +79,11 @@
   }
 
   private void reported(EngineState state) {
+    long loaded = goal.wanted().artifacts().stream().filter(state.loaded()::contains).count();
+    if (loaded > wantedLoaded) {
+      backoffMillis = settings.firstBackoffMillis();
+    }
+    wantedLoaded = loaded;
     newestNumber = state.fencingNumber();
     if (isAsWanted(state)) {
       startAfresh();
--- a/coordination/src/test/java/org/ragworttide/coordination/orders/OrdersTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/orders/OrdersTest.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -119,6 +121,37 @@
     assertTrue(sent.isEmpty());
   }
 
+  @Test
+  public void engineThatLoadsOneArtifactAfterTheOtherIsNotKeptWaiting() {
+    Artifact[] many = new Artifact[12];
+    Arrays.setAll(many, i -> new Artifact(Artifact.Kind.ADAPTER, "a" + i, "1"));
+    orders.apply(policy(6, many));
+    Set<Artifact> loaded = new HashSet<>();
+    for (int second = 0; second < 40; second++) {
+      report(1, new EngineState(sent.isEmpty() ? 0 : 6, loaded, Set.of(), "serve"));
+      answer(new OrderResult.Accepted());
+      sent.forEach(order -> order.fetch().ifPresent(loaded::add));
+    }
+    assertTrue(orders.pending().isEmpty(), "loaded in 40 s: " + loaded.size());
+  }
+
+  @Test
+  public void oneFetchOfAnEngineIsAskedForAtTheSameTime() {
+    List<String> asked = new ArrayList<>();
+    Orders waiting =
+        new Orders(
+            time,
+            engine -> true,
+            (request, decision) -> asked.add(request),
+            OrderSettings.DEFAULTS,
+            "run");
+    waiting.apply(policy(5, MODEL, ADAPTER));
+    waiting.sendWith((order, result) -> sent.add(order));
+    waiting.report(new EngineReport(ENGINE, 1, 0, Optional.of(EMPTY)));
+    time.advance(4_000);
+    assertEquals(asked.size(), 1);
+  }
+
   @Test
   public void engineThatDoesNotTellGetsEachArtifactOnceAndAgainAfterRestart() {
     for (int second = 0; second < 30; second++) {
--- /dev/null
+++ b/daemon/src/test/java/org/ragworttide/daemon/orders/EngineCallsTest.java
@@ -0,0 +1,69 @@
+package org.ragworttide.daemon.orders;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.orders.Artifact;
+import org.ragworttide.coordination.orders.EngineOrder;
+import org.ragworttide.coordination.orders.OrderResult;
+import org.ragworttide.coordination.orders.WantedState;
+import org.ragworttide.daemon.upstream.SendGate;
+import org.ragworttide.daemon.upstream.UpstreamClient;
+import org.ragworttide.daemon.upstream.UpstreamSettings;
+import org.ragworttide.fakes.FakeEngine;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Sends orders to a stand-in engine and checks what it does and what is told of it. */
+public class EngineCallsTest {
+  private static final Artifact MODEL = new Artifact(Artifact.Kind.MODEL, "repair", "3");
+
+  private FakeEngine engine;
+  private EngineCalls calls;
+
+  /** Starts an engine that checks fencing numbers. */
+  @BeforeMethod
+  public void start() {
+    engine = FakeEngine.start("engine-1", 0, Set.of());
+    engine.takeOrders(true);
+    calls = new EngineCalls(new UpstreamClient(UpstreamSettings.defaults(), Optional.empty()));
+  }
+
+  /** Stops what was started. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() {
+    engine.close();
+  }
+
+  @Test
+  public void engineFollowsAnOrderAndRefusesAnOlderOneWithItsNumber() {
+    assertEquals(send(7, () -> true), new OrderResult.Accepted());
+    assertEquals(engine.fetches(), 1);
+    assertEquals(send(6, () -> true), new OrderResult.Old(7));
+  }
+
+  @Test
+  public void orderThatWaitedTooLongForItsConnectionDoesNotLeave() {
+    assertTrue(send(7, () -> false) instanceof OrderResult.NotSent);
+    assertEquals(engine.fetches(), 0);
+  }
+
+  @Test
+  public void engineThatIsNotThereIsToldAsNotSent() {
+    engine.close();
+    assertTrue(send(7, () -> true) instanceof OrderResult.NotSent);
+  }
+
+  private OrderResult send(long number, SendGate gate) {
+    WantedState wanted = new WantedState(List.of(MODEL), "serve");
+    EngineOrder order =
+        new EngineOrder(new UpstreamId("engine-1"), number, wanted, Optional.of(MODEL));
+    return calls.send(new InetSocketAddress("127.0.0.1", engine.port()), order, gate).block();
+  }
+}
