Let a daemon that starts while the platform is down ask seeds for the list

Cause: a daemon without a VM list knows no peer, stays unready and lets no rolling restart go on while the platform's service is down.

peers.seeds names listeners of other daemons. Without a list the daemon asks one a second in turn, by the peer protocol's own question (same fleet name, same TLS); pages of a long list follow at once. The answer goes to the address that the seed's list gives for the asker. The version exchange now starts with the first list, wherever it came from.

Safety: nothing rests on a seed being current. Way 3 of the voters rests on the assumption that an older list was replaced only lately; the platform bounds that, a seed does not. A voter whose lists all come from peers neither begins way 3 nor confirms its version to others until the platform was read once. Ruled out: a majority of seeds, serving without votes; see DESIGN-COORDINATION.

--- a/coordination/src/main/java/org/ragworttide/coordination/Coordinator.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/Coordinator.java
@@ -70,6 +70,7 @@
   private Router router;
   private SharedRights rights;
   private long adoptedVersion;
+  private boolean platformRead;
 
   /**
    * Creates the coordination of one daemon, without any list and any configuration.
@@ -112,6 +113,7 @@
               time,
               routing.withMultiples(soft, load),
               UpstreamGate.all(List.of(rights.cold(), breakers)));
+      rights.listsFromPeersOnly(!platformRead);
       membership.recentLists().forEach(rights::adopt);
       tellMembers();
     }
@@ -126,12 +128,12 @@
 
   /** Takes in a list that the platform published. */
   public void offer(VmList list) {
-    boolean first = membership.list().isEmpty();
+    platformRead = true;
+    if (rights != null) {
+      rights.listsFromPeersOnly(false);
+    }
     membership.offer(list);
     adoptLists();
-    if (first && membership.list().isPresent()) {
-      versions.start();
-    }
   }
 
   /** Takes in an engine's published load. */
@@ -258,6 +260,7 @@
   }
 
   private void adoptLists() {
+    final boolean first = adoptedVersion == 0;
     for (VmList list : membership.recentLists()) {
       if (list.version() > adoptedVersion) {
         adoptedVersion = list.version();
@@ -267,6 +270,9 @@
         tellMembers();
       }
     }
+    if (first && adoptedVersion > 0) {
+      versions.start();
+    }
   }
 
   private void tellMembers() {
--- a/coordination/src/main/java/org/ragworttide/coordination/SharedRights.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/SharedRights.java
@@ -79,6 +79,11 @@
     return owners.ownerOf(resource);
   }
 
+  void listsFromPeersOnly(boolean peersOnly) {
+    leases.listsFromPeersOnly(peersOnly);
+    claims.listsFromPeersOnly(peersOnly);
+  }
+
   void adopt(VmList list) {
     leases.adopt(list);
     claims.adopt(list);
--- a/coordination/src/main/java/org/ragworttide/coordination/claims/ClaimManager.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/claims/ClaimManager.java
@@ -115,6 +115,11 @@
     return table.find(key).filter(LocalClaim.Running.class::isInstance).isPresent();
   }
 
+  /** Tells whether all lists so far come from peers, none from the platform. */
+  public void listsFromPeersOnly(boolean peersOnly) {
+    voter.listsFromPeersOnly(peersOnly);
+  }
+
   @Override
   public void adopt(VmList list) {
     if (voter.adopt(list)) {
--- a/coordination/src/main/java/org/ragworttide/coordination/group/Voter.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/group/Voter.java
@@ -34,6 +34,7 @@
   private final Learner learner;
   private final long startedAtMillis;
   private GroupSelection groups;
+  private boolean listsFromPeersOnly;
 
   /** Starts a voter that is not informed of anything. */
   public Voter(
@@ -67,6 +68,14 @@
     return true;
   }
 
+  /**
+   * Tells whether all lists so far come from peers, which may be behind; until the platform has
+   * been read nothing is concluded from all VMs having adopted the list, nor confirmed to others.
+   */
+  public void listsFromPeersOnly(boolean peersOnly) {
+    listsFromPeersOnly = peersOnly;
+  }
+
   /** Returns the groups under the adopted list, if there is one. */
   public Optional<GroupSelection> groups() {
     return Optional.ofNullable(groups);
@@ -145,7 +154,7 @@
       return;
     }
     finishWaits(now);
-    if (learner.isAdoptedByAll(now)) {
+    if (!listsFromPeersOnly && learner.isAdoptedByAll(now)) {
       missingShards().forEach(shard -> knowledge.beginWait(shard, groups.list().version(), now));
     }
     List<Integer> missing = missingShards();
@@ -186,14 +195,18 @@
     switch (message) {
       case LearnRequest request -> onLearnRequest(from, request);
       case LearnAnswer answer -> onLearnAnswer(from, answer);
-      case GroupMessage.AdoptedRequest request ->
-          transport.send(
-              from,
-              new AdoptedAnswer(settings.topic(), request.attempt(), groups.list().version()));
+      case GroupMessage.AdoptedRequest request -> onAdoptedRequest(from, request);
       case AdoptedAnswer answer -> learner.acceptAdopted(from, answer, timers.nowMillis());
     }
   }
 
+  private void onAdoptedRequest(VmId from, GroupMessage.AdoptedRequest request) {
+    if (!listsFromPeersOnly) {
+      long version = groups.list().version();
+      transport.send(from, new AdoptedAnswer(settings.topic(), request.attempt(), version));
+    }
+  }
+
   private void onLearnRequest(VmId from, LearnRequest request) {
     if (request.version() != groups.list().version()) {
       ignored.count(Reason.OTHER_VERSION);
--- a/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseManager.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/lease/LeaseManager.java
@@ -75,6 +75,11 @@
     voter.groups().ifPresent(hints::tick);
   }
 
+  /** Tells whether all lists so far come from peers, none from the platform. */
+  public void listsFromPeersOnly(boolean peersOnly) {
+    voter.listsFromPeersOnly(peersOnly);
+  }
+
   @Override
   public void adopt(VmList list) {
     if (voter.adopt(list)) {
--- a/coordination/src/main/java/org/ragworttide/coordination/membership/Membership.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/membership/Membership.java
@@ -108,6 +108,11 @@
     return history.all();
   }
 
+  @Override
+  public ListRequest listQuestion() {
+    return new ListRequest(history.version(), pages.version(), pages.nextPage());
+  }
+
   @Override
   public boolean isSuspected(VmId vm) {
     return !vm.equals(self) && suspicions.isSuspected(vm, time.nowMillis());
--- a/coordination/src/main/java/org/ragworttide/coordination/membership/MembershipQueries.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/membership/MembershipQueries.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.ragworttide.coordination.id.Incarnation;
 import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.MembershipMessage;
 
 /**
  * Reads this VM's view of the fleet.
@@ -19,6 +20,9 @@
   /** Returns the newest lists with consecutive versions, oldest first. */
   List<VmList> recentLists();
 
+  /** Returns the question by which a VM without a list gets the part of one that it lacks. */
+  MembershipMessage.ListRequest listQuestion();
+
   /** Returns whether the VM seems to be out of reach at the moment. */
   boolean isSuspected(VmId vm);
 
--- a/coordination/src/main/java/org/ragworttide/coordination/membership/PageAssembler.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/membership/PageAssembler.java
@@ -44,6 +44,11 @@
     return true;
   }
 
+  /** Returns the version whose pages are being put together, zero for none. */
+  long version() {
+    return version;
+  }
+
   int nextPage() {
     return nextPage;
   }
--- a/coordination/src/test/java/org/ragworttide/coordination/group/VoterTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/group/VoterTest.java
@@ -233,6 +233,31 @@
     assertFalse(voter.isInformed(SHARD));
   }
 
+  @Test
+  public void voterConcludesNothingFromAllHavingAdoptedListThatCameFromPeersOnly() {
+    voter.listsFromPeersOnly(true);
+    beginToLearn();
+    tickFor(300);
+    confirm(1, "b", "c", "d", "e");
+    tickFor(2 * SETTINGS.keepMillis());
+    assertFalse(voter.isInformed(SHARD));
+    voter.listsFromPeersOnly(false);
+    tickFor(300);
+    confirm(1, "b", "c", "d", "e");
+    tickFor(2 * SETTINGS.keepMillis());
+    assertTrue(voter.isInformed(SHARD));
+  }
+
+  @Test
+  public void voterConfirmsNoListThatCameFromPeersOnly() {
+    voter.listsFromPeersOnly(true);
+    voter.onMessage(new VmId("b"), new AdoptedRequest(Topic.CLAIM, 9));
+    assertTrue(sent.isEmpty(), "confirmed");
+    voter.listsFromPeersOnly(false);
+    voter.onMessage(new VmId("b"), new AdoptedRequest(Topic.CLAIM, 9));
+    assertEquals(sent.getLast().message(), new AdoptedAnswer(Topic.CLAIM, 9, 1));
+  }
+
   private void confirm(long version, String... vms) {
     long attempt =
         sent.reversed().stream()
--- a/coordination/src/test/java/org/ragworttide/coordination/membership/MembershipTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/membership/MembershipTest.java
@@ -17,6 +17,7 @@
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.message.MembershipMessage;
 import org.ragworttide.coordination.message.PeerMessage;
+import org.ragworttide.coordination.message.Transport;
 import org.ragworttide.coordination.net.FakeNetwork;
 import org.ragworttide.coordination.net.VmClock;
 import org.ragworttide.coordination.time.ManualTimerService;
@@ -60,6 +61,26 @@
         });
   }
 
+  @Test
+  public void vmWithoutListAsksForOnePageAfterTheOther() {
+    ManualTimerService time = new ManualTimerService();
+    VmList whole = list(7, 40);
+    List<PeerMessage> answers = new ArrayList<>();
+    Membership seed = membership("vm-1", time, (to, message) -> answers.add(message));
+    seed.offer(whole);
+    Membership late = membership("vm-2", time, (to, message) -> {});
+    for (int page = 0; page < 3; page++) {
+      seed.receive(new VmId("vm-2"), late.listQuestion());
+      late.receive(new VmId("vm-1"), (MembershipMessage) answers.getLast());
+    }
+    assertEquals(late.list().orElseThrow(), whole);
+  }
+
+  private static Membership membership(String vm, ManualTimerService time, Transport transport) {
+    return new Membership(
+        new VmId(vm), new Incarnation(1), time, transport, new SplittableRandom(SEED));
+  }
+
   @Test
   public void gapInThePublishedListsIsFilledByPeers() {
     everySeed(
--- a/daemon/src/main/java/org/ragworttide/daemon/peer/PeerLinks.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/peer/PeerLinks.java
@@ -24,6 +24,7 @@
   private final SendBudget budget;
   private final Function<VmId, Optional<String>> addresses;
   private final Map<VmId, AddressedLink> links = new HashMap<>();
+  private final Map<Seed, PeerLink> seeds = new HashMap<>();
 
   /**
    * Creates links that open on demand.
@@ -56,10 +57,24 @@
     link(to, address.get()).offer(frame);
   }
 
+  void sendToSeed(String host, int port, PeerMessage message) {
+    PeerFrame frame = PeerFrameCodec.encode(message);
+    if (!budget.tryPass(message, PeerFrames.sizeBytes(frame))) {
+      traffic.droppedFrames.inc();
+      return;
+    }
+    seeds
+        .computeIfAbsent(
+            new Seed(host, port), seed -> new PeerLink(client, host, port, self, traffic))
+        .offer(frame);
+  }
+
   /** Closes all links once their waiting frames are written. */
   public void close() {
     links.values().forEach(addressed -> addressed.link().dispose());
     links.clear();
+    seeds.values().forEach(PeerLink::dispose);
+    seeds.clear();
   }
 
   private PeerLink link(VmId to, String address) {
@@ -78,5 +93,7 @@
     return link;
   }
 
+  private record Seed(String host, int port) {}
+
   private record AddressedLink(String address, PeerLink link) {}
 }
--- a/daemon/src/main/java/org/ragworttide/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/peer/PeerNetwork.java
@@ -58,6 +58,11 @@
     links.send(to, message);
   }
 
+  /** Sends to whoever listens at an address, as long as no list tells the peers' addresses. */
+  public void sendToSeed(String host, int port, PeerMessage message) {
+    links.sendToSeed(host, port, message);
+  }
+
   /** Returns the port that the listener uses. */
   public int port() {
     return listener.port();
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
@@ -53,6 +53,7 @@
   private final PlatformFacts facts;
   private final Coordinator coordinator;
   private final PlatformFeed feed;
+  private final SeedQuestions seeds;
   private volatile DaemonHttp http;
 
   private Daemon(DaemonSettings settings, Optional<PeerTls> tls) {
@@ -66,6 +67,7 @@
     PlatformClient client = new PlatformClient(DaemonOptions.text(settings.platform().address()));
     this.feed = new PlatformFeed(client, facts);
     facts.connect(coordinator, feed);
+    this.seeds = new SeedQuestions(settings.peers().seeds(), coordinator.membership(), peers);
   }
 
   /** Starts a daemon with the settings. */
@@ -132,6 +134,7 @@
   private Daemon follow() {
     loop.execute(
         () -> configuration.subscribe((old, now) -> http.onConfiguration(old.orElse(null), now)));
+    loop.every(SeedQuestions.PERIOD_MILLIS, seeds::askNext);
     feed.start(facts::isReader);
     return this;
   }
@@ -156,7 +159,11 @@
   }
 
   private void receive(VmId from, Incarnation run, PeerMessage message) {
-    loop.execute(() -> coordinator.receive(from, message));
+    loop.execute(
+        () -> {
+          coordinator.receive(from, message);
+          seeds.received(message);
+        });
   }
 
   private Optional<String> address(VmId vm) {
--- a/document/src/main/java/org/ragworttide/document/settings/DaemonSettings.java
+++ b/document/src/main/java/org/ragworttide/document/settings/DaemonSettings.java
@@ -1,6 +1,7 @@
 package org.ragworttide.document.settings;
 
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.id.ZoneId;
@@ -88,8 +89,15 @@
    *
    * @param address where it listens
    * @param tls empty when the settings say plain
+   * @param seeds peers' listeners that are asked for the VM list while there is none
    */
-  public record Peers(Address address, Optional<MutualTls> tls) {}
+  public record Peers(Address address, Optional<MutualTls> tls, List<Address> seeds) {
+
+    /** Copies the seeds. */
+    public Peers {
+      seeds = List.copyOf(seeds);
+    }
+  }
 
   /**
    * Where the platform publishes.
--- a/document/src/main/java/org/ragworttide/document/settings/SettingsMapping.java
+++ b/document/src/main/java/org/ragworttide/document/settings/SettingsMapping.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import org.ragworttide.coordination.id.VmId;
@@ -53,7 +55,14 @@
             .map(
                 tls ->
                     new DaemonSettings.MutualTls(
-                        file(tls, "certificateFile"), file(tls, "keyFile"), file(tls, "caFile"))));
+                        file(tls, "certificateFile"), file(tls, "keyFile"), file(tls, "caFile"))),
+        seeds(node.path("seeds")));
+  }
+
+  private static List<Address> seeds(JsonNode node) {
+    List<Address> seeds = new ArrayList<>();
+    node.forEach(seed -> seeds.add(address(seed)));
+    return seeds;
   }
 
   private static DaemonSettings.Limits limits(JsonNode node) {
--- a/document/src/test/java/org/ragworttide/document/settings/SettingsReaderTest.java
+++ b/document/src/test/java/org/ragworttide/document/settings/SettingsReaderTest.java
@@ -61,6 +61,17 @@
         "/peers/tls/caFile");
   }
 
+  @Test
+  public void seedsAreAddressesByIpNumber() {
+    String seeds = "8082, \"seeds\": [{\"host\": \"127.0.0.2\", \"port\": 7400}], \"plain\": true";
+    DaemonSettings settings = accepted(SMALLEST.replace("8082, \"plain\": true", seeds));
+    assertEquals(settings.peers().seeds(), List.of(new DaemonSettings.Address("127.0.0.2", 7400)));
+    assertEquals(accepted(SMALLEST).peers().seeds(), List.of());
+    assertFault(
+        SMALLEST.replace("8082, \"plain\": true", seeds.replace("127.0.0.2", "seed")),
+        "/peers/seeds/0/host");
+  }
+
   @Test
   public void hostNamesAreRefusedSinceDaemonsTalkByIpNumbers() {
     assertFault(SMALLEST.replaceFirst("127.0.0.1", "localhost"), "/callers/host");
