--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
@@ -55,6 +55,7 @@
   private final PlatformFacts facts;
   private final Coordinator coordinator;
   private final PlatformFeed feed;
+  private final SeedQuestions seeds;
   private volatile DaemonHttp http;
 
   private Daemon(DaemonSettings settings, Optional<PeerTls> tls) {
@@ -68,6 +69,7 @@
     PlatformClient client = new PlatformClient(DaemonOptions.text(settings.platform().address()));
     this.feed = new PlatformFeed(client, facts);
     facts.connect(coordinator, feed);
+    this.seeds = new SeedQuestions(settings.peers().seeds(), coordinator.membership(), peers);
   }
 
   /** Starts a daemon with the settings. */
@@ -145,6 +147,7 @@
   private Daemon follow() {
     loop.execute(
         () -> configuration.subscribe((old, now) -> http.onConfiguration(old.orElse(null), now)));
+    loop.every(SeedQuestions.PERIOD_MILLIS, seeds::askNext);
     feed.start(facts::isReader);
     return this;
   }
@@ -169,7 +172,11 @@
   }
 
   private void receive(VmId from, Incarnation run, PeerMessage message) {
-    loop.execute(() -> coordinator.receive(from, message));
+    loop.execute(
+        () -> {
+          coordinator.receive(from, message);
+          seeds.received(message);
+        });
   }
 
   private Optional<String> address(VmId vm) {
