Take no answer of an engine for slow that begins within half a second

Seen in `bin/bench path` on a loaded machine: with a first token of 20 ms, jitter made three answers within ten seconds more than twice as slow as the 99th percentile 13 times in 80 s; each time the engine turned cold in the whole fleet and requests waited for permits, up to 3 s for the first byte.

Plain services have had a floor of half a second for this; engines have the same now. Below it a caller has not noticed anything, and a cold engine is slower. Ruled out: a larger factor (on an engine with 20 ms it would have to be 25) and more slow answers (a busy machine makes them together).

answersOfEnginesWithinHalfSecondAreNotSlow failed before; *Admission*Test: 308 passed.

--- a/coordination/src/main/java/org/ragworttide/coordination/admission/SlowAnswers.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/admission/SlowAnswers.java
@@ -9,7 +9,8 @@
  * Tells which answers are slow: those of engines by what all engines need, those of an upstream
  * without load reports by what it needs itself.
  *
- * <p>Confined to the coordination thread.
+ * <p>Invariant: an answer that begins within the floor is not slow, however quick the others are.
+ * Confined to the coordination thread.
  */
 final class SlowAnswers {
   private static final long FLOOR_MILLIS = 500;
@@ -20,7 +21,7 @@
 
   SlowAnswers(double slowFactor) {
     this.slowFactor = slowFactor;
-    this.engines = new FirstTokenMonitor(slowFactor, 0);
+    this.engines = new FirstTokenMonitor(slowFactor, FLOOR_MILLIS);
   }
 
   /** Forgets all upstreams without load reports but these. */
--- a/coordination/src/test/java/org/ragworttide/coordination/admission/ServiceAdmissionTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/admission/ServiceAdmissionTest.java
@@ -12,6 +12,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.message.AdmissionMessage.Warm;
 import org.ragworttide.coordination.net.Seeds;
 import org.testng.annotations.Test;
@@ -111,6 +112,17 @@
         });
   }
 
+  @Test
+  public void answersOfEnginesWithinHalfSecondAreNotSlow() {
+    SlowAnswers answers = new SlowAnswers(2);
+    UpstreamId engine = new UpstreamId("engine-1");
+    for (int i = 0; i < 100; i++) {
+      answers.isSlow(engine, false, 20);
+    }
+    assertFalse(answers.isSlow(engine, false, 400));
+    assertTrue(answers.isSlow(engine, false, 600));
+  }
+
   @Test
   public void answersWithinHalfSecondAreNotSlow() {
     SlowAnswers answers = new SlowAnswers(2);
