--- a/coordination/src/main/java/org/ragworttide/coordination/limits/AskOutbox.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/AskOutbox.java
@@ -25,22 +25,24 @@
   private static final int MAX_WANTS = 64;
   private static final int MAX_CLOSES = 64;
 
+  private final VmId self;
   private final TimerService time;
   private final BiConsumer<VmId, PendingAsk> sender;
   private final Map<VmId, Box> boxes = new HashMap<>();
   private long nextAskId;
 
-  AskOutbox(TimerService time, long firstAskId, BiConsumer<VmId, PendingAsk> sender) {
+  AskOutbox(VmId self, TimerService time, long firstAskId, BiConsumer<VmId, PendingAsk> sender) {
+    this.self = self;
     this.time = time;
     this.nextAskId = firstAskId;
     this.sender = sender;
   }
 
-  /** Sends the account's wishes for a part with the next ask. */
-  void want(VmId owner, HolderAccount account, LimitPart part, int delayMillis) {
+  /** Sends the account's wishes for a part with the next ask, which goes to this VM at once. */
+  void want(VmId owner, HolderAccount account, LimitPart part) {
     Box box = boxes.computeIfAbsent(owner, id -> new Box());
     box.wishes.put(part, account);
-    schedule(owner, box, delayMillis);
+    schedule(owner, box, owner.equals(self) ? 0 : LimitTimes.BATCH_DELAY_MILLIS);
   }
 
   /** Sends a close within the delay. */
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitHolder.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitHolder.java
@@ -1,6 +1,5 @@
 package org.ragworttide.coordination.limits;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
@@ -35,6 +34,7 @@
   private final AskOutbox outbox;
   private final HolderAccounts accounts;
   private final ReserveConfirmations confirmations;
+  private final PermitUse permits;
   private final PendingAsks pending = new PendingAsks();
   private final LimitPeers peers;
   private BiConsumer<VmId, Ask> sender = (owner, ask) -> {};
@@ -52,9 +52,10 @@
     this.verdicts = new LimitVerdicts(time, tally, settings.retryWindowMillis());
     this.tally = tally;
     this.peers = new LimitPeers(self, settings);
-    this.outbox = new AskOutbox(time, firstAskId, this::send);
+    this.outbox = new AskOutbox(self, time, firstAskId, this::send);
+    this.permits = new PermitUse(outbox, verdicts);
     this.accounts = new HolderAccounts(self, time, outbox);
-    this.confirmations = new ReserveConfirmations(self, time, owners, outbox);
+    this.confirmations = new ReserveConfirmations(time, owners, outbox);
   }
 
   void sendWith(BiConsumer<VmId, Ask> newSender) {
@@ -94,7 +95,7 @@
   }
 
   private void acquire(HolderAccount account, Waiter waiter, long now) {
-    if (usePermit(account, waiter, now)) {
+    if (permits.use(account, waiter, now)) {
       if (account.runsLow(now)) {
         prefetch(account);
       }
@@ -121,7 +122,7 @@
 
   private void await(HolderAccount account, Waiter waiter, LimitPart part, VmId asked) {
     if (account.await(waiter)) {
-      outbox.want(asked, account, part, delayTo(asked));
+      outbox.want(asked, account, part);
     } else {
       admitOrGiveUp(account, waiter);
     }
@@ -145,7 +146,7 @@
         .ifPresent(
             owner -> {
               account.prefetching(true);
-              outbox.want(owner, account, part, delayTo(owner));
+              outbox.want(owner, account, part);
             });
   }
 
@@ -221,7 +222,7 @@
       }
       if (grant.counted().contains(i)) {
         verdicts.admitRetry(waiter);
-      } else if (!usePermit(wanted.account(), waiter, now)) {
+      } else if (!permits.use(wanted.account(), waiter, now)) {
         long retryAfter = Math.max(1, grant.retryAfterMillis());
         if (wanted.part().isReserve()) {
           admitOrRefuse(wanted.account(), waiter, retryAfter, RefusalReason.RATE_EXCEEDED);
@@ -270,21 +271,6 @@
     outbox.flushAll();
   }
 
-  private boolean usePermit(HolderAccount account, Waiter waiter, long now) {
-    List<Permit> closed = new ArrayList<>(1);
-    boolean used = account.usePermit(waiter.request(), now, closed);
-    close(
-        closed, account.isScarce() ? LimitTimes.BATCH_DELAY_MILLIS : LimitTimes.CLOSE_DELAY_MILLIS);
-    if (used) {
-      verdicts.admit(waiter);
-    }
-    return used;
-  }
-
-  private void close(List<Permit> permits, int delayMillis) {
-    permits.forEach(permit -> outbox.close(permit.owner(), permit.close(), delayMillis));
-  }
-
   private void admitOrRefuse(
       HolderAccount account, Waiter waiter, long retryAfterMillis, RefusalReason reason) {
     if (waiter.isDecided()) {
@@ -308,8 +294,4 @@
       verdicts.refuse(waiter, refusal);
     }
   }
-
-  private int delayTo(VmId owner) {
-    return owner.equals(self) ? 0 : LimitTimes.BATCH_DELAY_MILLIS;
-  }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/ReserveConfirmations.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/ReserveConfirmations.java
@@ -1,7 +1,6 @@
 package org.ragworttide.coordination.limits;
 
 import java.util.Collection;
-import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.message.LimitMessage.Grant;
 import org.ragworttide.coordination.time.TimerService;
 
@@ -14,13 +13,11 @@
 final class ReserveConfirmations {
   private static final int MAX_A_SWEEP = 16;
 
-  private final VmId self;
   private final TimerService time;
   private final OwnerView owners;
   private final AskOutbox outbox;
 
-  ReserveConfirmations(VmId self, TimerService time, OwnerView owners, AskOutbox outbox) {
-    this.self = self;
+  ReserveConfirmations(TimerService time, OwnerView owners, AskOutbox outbox) {
     this.time = time;
     this.owners = owners;
     this.outbox = outbox;
@@ -49,10 +46,6 @@
     account.reserve().asked(now);
     owners
         .ownerOf(account.homePart().resource())
-        .ifPresent(owner -> outbox.want(owner, account, part, delayTo(owner)));
-  }
-
-  private int delayTo(VmId owner) {
-    return owner.equals(self) ? 0 : LimitTimes.BATCH_DELAY_MILLIS;
+        .ifPresent(owner -> outbox.want(owner, account, part));
   }
 }
