Test cold, leaving and cut-off daemons' services as processes

ServiceProcessTest starts three daemons once, with a relay that can be cut before each one's peer listener, and checks: a service that restarts gets no more bookings at once than its cold limit through daemons that saw no failure; bookings run once, truthfully and within the rate while links are cut; a daemon that starts with the platform down finds its fleet by a seed; a service marked OUT gets nothing new on any daemon while its running booking finishes.

Two copies of one booking may be told differently: one that waits too long under its claim is told "not run" and gives the claim up, then the other runs. The check therefore asks for no run only when every copy was told so; half the bookings have one copy.

--- a/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntUnaryOperator;
 import java.util.stream.Stream;
 import org.ragworttide.fakes.FakeSet;
 
@@ -32,7 +33,7 @@
         "vm": "vm-%1$d", "zone": "zone-%1$d", "fleet": "test",
         "callers": { "host": "127.0.0.1", "port": %2$d, "plain": true },
         "operators": { "host": "127.0.0.1", "port": %3$d },
-        "peers": { "host": "127.0.0.1", "port": %4$d, "plain": true },
+        "peers": { "host": "127.0.0.1", "port": %4$d, "plain": true, "seeds": [%6$s] },
         "platform": { "host": "127.0.0.1", "port": %5$d },
         "upstream": { "plain": true }
       }
@@ -47,12 +48,20 @@
   private final List<Process> processes = new ArrayList<>();
 
   DaemonProcesses() throws IOException {
+    this(IntUnaryOperator.identity());
+  }
+
+  /** Starts a fleet whose VM list names other ports than those the peers' listeners have. */
+  DaemonProcesses(IntUnaryOperator listedPort) throws IOException {
     for (int i = 0; i < 3; i++) {
       ports.add(new int[] {freePort(), freePort(), freePort()});
     }
-    fakes.platform().publishVms(TestDocuments.vms(ports.stream().map(p -> p[2]).toList()));
+    fakes
+        .platform()
+        .publishVms(
+            TestDocuments.vms(ports.stream().map(p -> listedPort.applyAsInt(p[2])).toList()));
     for (int i = 0; i < 3; i++) {
-      processes.add(start(i));
+      processes.add(start(i, ""));
     }
   }
 
@@ -67,7 +76,12 @@
   }
 
   void restart(int daemon) throws IOException {
-    processes.set(daemon, start(daemon));
+    processes.set(daemon, start(daemon, ""));
+  }
+
+  void restartWithSeed(int daemon, int seed) throws IOException {
+    String address = "{\"host\": \"127.0.0.1\", \"port\": " + ports.get(seed)[2] + "}";
+    processes.set(daemon, start(daemon, address));
   }
 
   void kill(int daemon) throws InterruptedException {
@@ -115,11 +129,12 @@
         .exceptionally(e -> new Answer(0, String.valueOf(e)));
   }
 
-  private Process start(int daemon) throws IOException {
+  private Process start(int daemon, String seeds) throws IOException {
     int[] own = ports.get(daemon);
     Path settings = folder.resolve("vm-" + daemon + ".json");
     Files.writeString(
-        settings, SETTINGS.formatted(daemon, own[0], own[1], own[2], fakes.platform().port()));
+        settings,
+        SETTINGS.formatted(daemon, own[0], own[1], own[2], fakes.platform().port(), seeds));
     return new ProcessBuilder(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-Xmx256m",
--- a/fakes/src/main/java/org/ragworttide/fakes/FakeBookingService.java
+++ b/fakes/src/main/java/org/ragworttide/fakes/FakeBookingService.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentNavigableMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
@@ -25,6 +27,10 @@
   private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
   private final AtomicInteger bookings = new AtomicInteger();
   private final AtomicInteger drops = new AtomicInteger();
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicInteger answers = new AtomicInteger();
+  private final ConcurrentNavigableMap<Integer, Integer> highestByAnswers =
+      new ConcurrentSkipListMap<>();
   private final KeyWatch keys;
   private volatile long delayMillis;
   private final DisposableServer server;
@@ -60,6 +66,21 @@
     return bookings.get();
   }
 
+  /** Returns the most bookings at once before the given number of them was answered. */
+  public int highestBefore(int answered) {
+    return highestByAnswers.headMap(answered).values().stream().mapToInt(i -> i).max().orElse(0);
+  }
+
+  /** Returns how many bookings were answered. */
+  public int answers() {
+    return answers.get();
+  }
+
+  /** Sets how long each booking takes. */
+  public void answerAfter(long millis) {
+    delayMillis = millis;
+  }
+
   /** Returns how many requests carried a caller's key. */
   public int keysSeen() {
     return keys.seen();
@@ -88,7 +109,14 @@
   private Publisher<Void> book(HttpServerRequest in, HttpServerResponse out) {
     keys.look(in);
     String key = in.requestHeaders().get("Idempotency-Key", NO_KEY);
-    return LoopbackServer.body(in).flatMap(body -> run(key, out));
+    return LoopbackServer.body(in)
+        .flatMap(body -> run(key, out))
+        .doOnSubscribe(unused -> enter())
+        .doFinally(unused -> inFlight.decrementAndGet());
+  }
+
+  private void enter() {
+    highestByAnswers.merge(answers.get(), inFlight.incrementAndGet(), Math::max);
   }
 
   private Mono<Void> run(String key, HttpServerResponse out) {
@@ -99,6 +127,7 @@
       return Mono.never();
     }
     return Mono.delay(Duration.ofMillis(delayMillis))
+        .doOnNext(unused -> answers.incrementAndGet())
         .then(
             Mono.from(
                 LoopbackServer.json(
