--- a/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
@@ -167,7 +167,7 @@
   }
 
   /** Waits until a booking is run, which takes the claims' retention at least. */
-  void awaitBookings() throws IOException {
+  void awaitBookings() {
     int[] tries = {0};
     try {
       await(() -> book(tries[0] % 3, "start-" + tries[0]++).join().status() == 201);
@@ -177,7 +177,7 @@
   }
 
   /** Tells for a failed test which daemons run, what they last answered and what they logged. */
-  private String report() throws IOException {
+  private String report() {
     StringBuilder report = new StringBuilder();
     for (int i = 0; i < processes.size(); i++) {
       Process process = processes.get(i);
@@ -185,7 +185,15 @@
       report.append(process.isAlive() ? status(i) : "ended with " + process.exitValue());
       report.append("\nbooking: ").append(book(i, "report-" + i).join());
     }
-    return report.append('\n').append(Files.readString(folder.resolve("log"))).toString();
+    return report.append('\n').append(log()).toString();
+  }
+
+  private String log() {
+    try {
+      return Files.readString(folder.resolve("log"));
+    } catch (IOException e) {
+      return "no log: " + e;
+    }
   }
 
   static void await(BooleanSupplier condition) {
