Tell other VMs which requests a reserve has counted

Cause: with reserves of up to 90 % of a limit most requests of a fleet of up to ten VMs are served by a reserve, and only the VM that served one remembered it, so a caller's retry at another VM counted again.

Now a VM tells its peers the hashes of such requests within half a second, as a close without a permit, which an older daemon ignores; each peer then allows one retry. Weighed: telling the owner (a VM with a full reserve does not ask it), and a home VM for each request (an exchange for each request).

First seen failing without the notices: two tests of ReserveTest. Reserve*Test, Limit*Test and CoordinatedLimitTest pass.

--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitHolder.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitHolder.java
@@ -37,6 +37,7 @@
   private final PermitUse permits;
   private final PendingAsks pending = new PendingAsks();
   private final LimitPeers peers;
+  private final CountedNotices notices;
   private BiConsumer<VmId, Ask> sender = (owner, ask) -> {};
 
   LimitHolder(
@@ -49,10 +50,11 @@
     this.self = self;
     this.time = time;
     this.owners = owners;
-    this.verdicts = new LimitVerdicts(time, tally, settings.retryWindowMillis());
     this.tally = tally;
     this.peers = new LimitPeers(self, settings);
     this.outbox = new AskOutbox(self, time, firstAskId, this::send);
+    this.notices = new CountedNotices(time, peers, outbox);
+    this.verdicts = new LimitVerdicts(time, tally, settings.retryWindowMillis(), notices);
     this.permits = new PermitUse(outbox, verdicts);
     this.accounts = new HolderAccounts(self, time, outbox);
     this.confirmations = new ReserveConfirmations(time, owners, outbox);
@@ -161,6 +163,11 @@
     sender.accept(owner, ask.ask());
   }
 
+  /** Takes in what a peer tells of the requests that it has counted. */
+  void receiveNotices(Ask ask) {
+    verdicts.countedElsewhere(CountedNotices.requestsOf(ask));
+  }
+
   /** Takes in an owner's answer; one that matches no ask is counted and ignored. */
   void receive(VmId from, Answer answer) {
     Optional<PendingAsk> found = pending.take(from, answer);
@@ -267,6 +274,7 @@
 
   /** Returns all permits at once. */
   void release() {
+    notices.flush();
     accounts.returnPermits(Long.MAX_VALUE);
     outbox.flushAll();
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitPeers.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitPeers.java
@@ -31,6 +31,11 @@
     peers = vms.stream().filter(vm -> !vm.equals(self)).toList();
   }
 
+  /** Returns the peers to tell of requests that this VM's reserves have counted. */
+  List<VmId> lendingPeers() {
+    return lending ? peers : List.of();
+  }
+
   /** Returns a VM whose reserve may have a token for the request. */
   Optional<VmId> lender(HolderAccount account, Waiter waiter, long nowMillis) {
     if (!lending || !account.reserve().exists()) {
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/LimitVerdicts.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/LimitVerdicts.java
@@ -1,5 +1,6 @@
 package org.ragworttide.coordination.limits;
 
+import java.util.List;
 import org.ragworttide.coordination.time.TimerService;
 
 /**
@@ -12,11 +13,19 @@
   private final TimerService time;
   private final LimitTally tally;
   private final RequestMemory memory;
+  private final CountedNotices notices;
 
-  LimitVerdicts(TimerService time, LimitTally tally, long retryWindowMillis) {
+  LimitVerdicts(
+      TimerService time, LimitTally tally, long retryWindowMillis, CountedNotices notices) {
     this.time = time;
     this.tally = tally;
     this.memory = new RequestMemory(retryWindowMillis);
+    this.notices = notices;
+  }
+
+  /** Remembers requests that another VM has counted against its reserve. */
+  void countedElsewhere(List<Long> requests) {
+    requests.forEach(request -> memory.rememberElsewhere(request, time.nowMillis()));
   }
 
   /** Returns whether the request was counted here before, and uses up one of its retries. */
@@ -32,6 +41,7 @@
 
   void admitFromReserve(Waiter waiter) {
     tally.fromReserve();
+    notices.add(waiter.request());
     admit(waiter);
   }
 
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/Limits.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/Limits.java
@@ -84,7 +84,10 @@
   @Override
   public void receive(VmId from, LimitMessage message) {
     switch (message) {
-      case LimitMessage.Ask ask -> answer(from, ask);
+      case LimitMessage.Ask ask -> {
+        holder.receiveNotices(ask);
+        answer(from, ask);
+      }
       case LimitMessage.Answer answer -> holder.receive(from, answer);
     }
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/limits/RequestMemory.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/limits/RequestMemory.java
@@ -24,10 +24,19 @@
     this.windowMillis = windowMillis;
   }
 
-  /** Remembers a request that has been counted. */
+  /** Remembers a request that has been counted here. */
   void remember(long request, long nowMillis) {
+    keep(request, MAX_RETRIES, nowMillis);
+  }
+
+  /** Remembers a request that another VM has counted; it allows one retry here. */
+  void rememberElsewhere(long request, long nowMillis) {
+    keep(request, 1, nowMillis);
+  }
+
+  private void keep(long request, int retries, long nowMillis) {
     forgetOld(nowMillis);
-    if (retriesLeft.putIfAbsent(request, MAX_RETRIES) == null) {
+    if (retriesLeft.putIfAbsent(request, retries) == null) {
       order.addLast(new Counted(request, nowMillis + windowMillis));
     }
   }
--- a/coordination/src/test/java/org/ragworttide/coordination/limits/ReserveTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/limits/ReserveTest.java
@@ -51,6 +51,25 @@
     assertTrue(admitted() >= 40 - LEAST_SHARE - 1, admitted() + " of 40 admitted");
   }
 
+  @Test
+  public void retryAtAnotherVmOfRequestThatReserveCountedIsNotCountedAgain() {
+    fleet.request(vm(1), HOTEL, "retried", decisions::add);
+    fleet.time.advance(1_000);
+    fleet.request(vm(2), HOTEL, "retried", decisions::add);
+    assertEquals(
+        decisions, List.of(new LimitDecision.Admitted(false), new LimitDecision.Admitted(true)));
+  }
+
+  @Test
+  public void eachOtherVmAllowsOneRetryOfRequestThatReserveCounted() {
+    fleet.request(vm(1), HOTEL, "retried", decision -> {});
+    fleet.time.advance(1_000);
+    fleet.request(vm(2), HOTEL, "retried", decisions::add);
+    fleet.request(vm(2), HOTEL, "retried", decisions::add);
+    assertEquals(
+        decisions, List.of(new LimitDecision.Admitted(true), new LimitDecision.Admitted(false)));
+  }
+
   @Test
   public void vmBorrowsFromItsPeersWhenTheOwnerIsLost() {
     fleet.isolate(vm(0), true);
