Decide about further attempts in one place

The relay now asks RetryPolicy; LocalRetryBudget and the daemon's RetryBudget are gone. The policy's facts became those that a relay has: whether a byte may have been sent instead of a count, and how much was handed on in the unit in which engines resume. A budget may be empty for good (share and reserve zero), and is safe for use by any thread. What an ended request is told stays with the relay, which also knows the claim. One change for callers: when a deadline passes during an attempt that fails, they are told of the failure.

Changed tests: RetryTest, RelayTest and PathFixture name the new types; the assertions are the same. New: budgetWithoutShareAndReserveAllowsNoRetry.

--- a/bench/src/main/java/org/ragworttide/bench/routing/FailureBench.java
+++ b/bench/src/main/java/org/ragworttide/bench/routing/FailureBench.java
@@ -7,10 +7,10 @@
 import java.util.SplittableRandom;
 import org.ragworttide.coordination.id.ChatId;
 import org.ragworttide.coordination.id.UpstreamId;
-import org.ragworttide.coordination.retry.Attempt;
 import org.ragworttide.coordination.retry.AttemptOutcome;
 import org.ragworttide.coordination.retry.BreakerSettings;
 import org.ragworttide.coordination.retry.CircuitBreakers;
+import org.ragworttide.coordination.retry.FailedAttempt;
 import org.ragworttide.coordination.retry.NextStep;
 import org.ragworttide.coordination.retry.RetryBudget;
 import org.ragworttide.coordination.retry.RetryPolicy;
@@ -98,7 +98,7 @@
     failedAttempts++;
     choice.release().run();
     tried.add(RouterStrategy.id(engine));
-    Attempt failed = new Attempt(true, 1, 0, false, tried.size(), 0, 1_000);
+    FailedAttempt failed = new FailedAttempt(true, true, 0, false, tried.size(), 0, 1_000);
     if (policies.get(daemon).decide(failed) instanceof NextStep.Retry) {
       retries++;
       attempt(daemon, chat, tried);
--- a/coordination/src/main/java/org/ragworttide/coordination/retry/Attempt.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/retry/FailedAttempt.java
@@ -7,28 +7,28 @@
  * safe for use by any thread.
  *
  * @param idempotent whether running it again is harmless
- * @param sentBytes bytes of the request that may have reached any upstream, over all attempts
- * @param relayedBytes bytes of the answer that the caller has
+ * @param sent whether a byte of the request may have reached any upstream, over all attempts
+ * @param relayed how much of the answer the caller has, in the unit in which engines resume
  * @param resumable whether engines can go on from what the caller has
  * @param failed attempts that failed so far, this one included
  * @param nowMillis now
  * @param deadlineMillis when the answer must be whole
  */
-public record Attempt(
+public record FailedAttempt(
     boolean idempotent,
-    long sentBytes,
-    long relayedBytes,
+    boolean sent,
+    long relayed,
     boolean resumable,
     int failed,
     long nowMillis,
     long deadlineMillis) {
 
   /** Checks that the facts do not contradict each other. */
-  public Attempt {
-    if (sentBytes < 0 || relayedBytes < 0 || failed < 1) {
+  public FailedAttempt {
+    if (relayed < 0 || failed < 1) {
       throw new IllegalArgumentException("counts out of range");
     }
-    if (relayedBytes > 0 && sentBytes == 0) {
+    if (relayed > 0 && !sent) {
       throw new IllegalArgumentException("an answer without a request");
     }
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/retry/NextStep.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/retry/NextStep.java
@@ -13,9 +13,9 @@
   /**
    * Go on elsewhere from what the caller has.
    *
-   * @param fromByte the first byte of the answer that the caller lacks
+   * @param after how much of the answer the caller has
    */
-  record Resume(long fromByte) implements NextStep {}
+  record Resume(long after) implements NextStep {}
 
   /** End it as not run: no byte of it can have reached an upstream. */
   record EndNotRun() implements NextStep {}
--- a/coordination/src/main/java/org/ragworttide/coordination/retry/RetryBudget.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/retry/RetryBudget.java
@@ -4,7 +4,7 @@
  * Allows retries as a share of first attempts, so that they cannot multiply an outage.
  *
  * <p>Invariant: over any stretch of time, retries are at most the share of the first attempts in it
- * plus the reserve. Confined to the coordination thread.
+ * plus the reserve. Safe for use by any thread.
  */
 public final class RetryBudget {
   private final double share;
@@ -15,11 +15,11 @@
    * Creates a budget with a full reserve.
    *
    * @param share retries for one first attempt, in the long run
-   * @param reserve retries that may be saved up, at least one
+   * @param reserve retries that may be saved up; none when it is zero
    */
   public RetryBudget(double share, int reserve) {
-    if (!(share >= 0 && share <= 1) || reserve < 1) {
-      throw new IllegalArgumentException("share must be in [0, 1], reserve at least one");
+    if (!(share >= 0 && share <= 1) || reserve < 0) {
+      throw new IllegalArgumentException("share must be in [0, 1], reserve not negative");
     }
     this.share = share;
     this.reserve = reserve;
@@ -27,12 +27,12 @@
   }
 
   /** Notes a first attempt. */
-  public void attempted() {
+  public synchronized void attempted() {
     tokens = Math.min(reserve, tokens + share);
   }
 
   /** Takes a retry out of the budget, if one is left. */
-  public boolean tryRetry() {
+  public synchronized boolean tryRetry() {
     if (tokens < 1) {
       return false;
     }
--- a/coordination/src/main/java/org/ragworttide/coordination/retry/RetryPolicy.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/retry/RetryPolicy.java
@@ -5,7 +5,7 @@
  *
  * <p>Invariants: a request that is not idempotent is never run again once a byte of it may have
  * reached an upstream; an answer of which the caller has a part is only resumed, never begun again.
- * Confined to the coordination thread.
+ * Safe for use by any thread.
  */
 public final class RetryPolicy {
   private final RetryBudget budget;
@@ -26,14 +26,14 @@
   }
 
   /** Decides about a request that has just failed; takes a retry out of the budget if used. */
-  public NextStep decide(Attempt attempt) {
-    boolean repeatable = attempt.idempotent() || attempt.sentBytes() == 0;
-    boolean begun = attempt.relayedBytes() > 0;
+  public NextStep decide(FailedAttempt attempt) {
+    boolean repeatable = attempt.idempotent() || !attempt.sent();
+    boolean begun = attempt.relayed() > 0;
     boolean inTime = attempt.nowMillis() < attempt.deadlineMillis();
     boolean allowed = repeatable && (!begun || attempt.resumable());
     if (allowed && inTime && attempt.failed() < maxAttempts && budget.tryRetry()) {
-      return begun ? new NextStep.Resume(attempt.relayedBytes()) : new NextStep.Retry();
+      return begun ? new NextStep.Resume(attempt.relayed()) : new NextStep.Retry();
     }
-    return attempt.sentBytes() == 0 ? new NextStep.EndNotRun() : new NextStep.EndMayHaveRun();
+    return attempt.sent() ? new NextStep.EndMayHaveRun() : new NextStep.EndNotRun();
   }
 }
--- a/coordination/src/test/java/org/ragworttide/coordination/retry/RetryTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/retry/RetryTest.java
@@ -19,8 +19,9 @@
     return new RetryPolicy(new RetryBudget(0.1, 10), 3);
   }
 
-  private static Attempt attempt(boolean idempotent, long sent, long relayed, boolean resumable) {
-    return new Attempt(idempotent, sent, relayed, resumable, 1, 0, 1_000);
+  private static FailedAttempt attempt(
+      boolean idempotent, boolean sent, long relayed, boolean resumable) {
+    return new FailedAttempt(idempotent, sent, relayed, resumable, 1, 0, 1_000);
   }
 
   @Test
@@ -36,30 +37,37 @@
 
   @Test
   public void requestThatIsNotIdempotentRunsAgainOnlyIfNothingWasSent() {
-    assertEquals(policy().decide(attempt(false, 0, 0, false)), new NextStep.Retry());
-    assertEquals(policy().decide(attempt(false, 1, 0, false)), new NextStep.EndMayHaveRun());
-    assertEquals(policy().decide(attempt(false, 1, 5, true)), new NextStep.EndMayHaveRun());
+    assertEquals(policy().decide(attempt(false, false, 0, false)), new NextStep.Retry());
+    assertEquals(policy().decide(attempt(false, true, 0, false)), new NextStep.EndMayHaveRun());
+    assertEquals(policy().decide(attempt(false, true, 5, true)), new NextStep.EndMayHaveRun());
   }
 
   @Test
   public void begunAnswerIsResumedOrEndedNeverBegunAgain() {
-    assertEquals(policy().decide(attempt(true, 9, 5, true)), new NextStep.Resume(5));
-    assertEquals(policy().decide(attempt(true, 9, 5, false)), new NextStep.EndMayHaveRun());
+    assertEquals(policy().decide(attempt(true, true, 5, true)), new NextStep.Resume(5));
+    assertEquals(policy().decide(attempt(true, true, 5, false)), new NextStep.EndMayHaveRun());
   }
 
   @Test
   public void lateAndRepeatedFailuresEnd() {
-    Attempt late = new Attempt(true, 9, 0, false, 1, 1_000, 1_000);
+    FailedAttempt late = new FailedAttempt(true, true, 0, false, 1, 1_000, 1_000);
     assertEquals(policy().decide(late), new NextStep.EndMayHaveRun());
-    Attempt third = new Attempt(true, 0, 0, false, 3, 0, 1_000);
+    FailedAttempt third = new FailedAttempt(true, false, 0, false, 3, 0, 1_000);
     assertEquals(policy().decide(third), new NextStep.EndNotRun());
   }
 
   @Test
   public void spentBudgetEndsRequests() {
     RetryPolicy policy = new RetryPolicy(new RetryBudget(0, 1), 3);
-    assertEquals(policy.decide(attempt(true, 9, 0, false)), new NextStep.Retry());
-    assertEquals(policy.decide(attempt(true, 9, 0, false)), new NextStep.EndMayHaveRun());
+    assertEquals(policy.decide(attempt(true, true, 0, false)), new NextStep.Retry());
+    assertEquals(policy.decide(attempt(true, true, 0, false)), new NextStep.EndMayHaveRun());
+  }
+
+  @Test
+  public void budgetWithoutShareAndReserveAllowsNoRetry() {
+    RetryBudget budget = new RetryBudget(0, 0);
+    budget.attempted();
+    assertFalse(budget.tryRetry());
   }
 
   private static CircuitBreakers tripped(ManualTimerService time, UpstreamId... upstreams) {
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/RelayPorts.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/RelayPorts.java
@@ -1,9 +1,9 @@
 package org.ragworttide.daemon.relay;
 
+import org.ragworttide.coordination.retry.RetryBudget;
 import org.ragworttide.daemon.decision.Claims;
 import org.ragworttide.daemon.decision.Placement;
 import org.ragworttide.daemon.decision.RateLimits;
-import org.ragworttide.daemon.decision.RetryBudget;
 
 /**
  * The decisions that the relay asks for.
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/RequestRun.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/RequestRun.java
@@ -4,6 +4,9 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.retry.FailedAttempt;
+import org.ragworttide.coordination.retry.NextStep;
+import org.ragworttide.coordination.retry.RetryPolicy;
 import org.ragworttide.daemon.decision.PlacementDecision;
 import org.ragworttide.daemon.decision.PlacementRequest;
 import org.ragworttide.daemon.upstream.UpstreamClient;
@@ -32,6 +35,7 @@
   private final RelaySettings settings;
   private final UpstreamClient client;
   private final RunMetrics metrics;
+  private final RetryPolicy retries;
   private final Set<UpstreamId> tried = new HashSet<>();
   private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.PENDING);
   private volatile boolean exclusive;
@@ -51,6 +55,7 @@
     this.settings = settings;
     this.client = client;
     this.metrics = metrics;
+    this.retries = new RetryPolicy(ports.retries(), settings.maxAttempts());
     this.exclusive = request.upstream().idempotent();
   }
 
@@ -124,7 +129,7 @@
   private Flux<AnswerPart> attempt(PlacementDecision.Placed placed) {
     attempts++;
     if (attempts == 1) {
-      ports.retries().recordFirstAttempt();
+      ports.retries().attempted();
     }
     Attempt attempt = new Attempt(request, placed, settings, client, this::enterGate, progress);
     return metrics
@@ -144,22 +149,31 @@
 
   private Flux<AnswerPart> afterBusy(PlacementDecision.Placed placed, AnswerPart.Whole whole) {
     withheld = whole;
-    return mayTryAgain(placed) ? next() : Flux.just(whole);
+    return mayTryAgain(placed, true) ? next() : Flux.just(whole);
   }
 
   private Flux<AnswerPart> afterFailure(
       PlacementDecision.Placed placed, UpstreamEvent.Failure failure) {
-    boolean resendable =
-        failure instanceof UpstreamEvent.NotSent || request.upstream().idempotent();
     if (phase.get() == Phase.ABANDONED) {
       return refuse(deadlinePassed());
     }
-    return resendable && mayTryAgain(placed) ? next() : refuse(Refusals.of(failure, outcome()));
-  }
-
-  private boolean mayTryAgain(PlacementDecision.Placed placed) {
-    boolean may =
-        attempts < settings.maxAttempts() && ports.retries().tryAcquire(placed.upstream());
+    boolean sent = !(failure instanceof UpstreamEvent.NotSent);
+    return mayTryAgain(placed, sent) ? next() : refuse(Refusals.of(failure, outcome()));
+  }
+
+  private boolean mayTryAgain(PlacementDecision.Placed placed, boolean sent) {
+    long remainingMillis = request.deadline().remainingMillis();
+    FailedAttempt failed =
+        new FailedAttempt(
+            request.upstream().idempotent(),
+            sent || progress.started(),
+            progress.deliveredChunks(),
+            request.streaming(),
+            attempts,
+            0,
+            remainingMillis);
+    NextStep step = retries.decide(failed);
+    boolean may = step instanceof NextStep.Retry || step instanceof NextStep.Resume;
     if (may) {
       metrics.triedAgain(placed.upstream(), progress.started());
     }
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
@@ -10,12 +10,12 @@
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.membership.VmEntry;
 import org.ragworttide.coordination.message.PeerMessage;
+import org.ragworttide.coordination.retry.RetryBudget;
 import org.ragworttide.coordination.routing.RouterSettings;
 import org.ragworttide.daemon.DaemonHttp;
 import org.ragworttide.daemon.audit.AuditAction;
 import org.ragworttide.daemon.audit.AuditTrail;
 import org.ragworttide.daemon.audit.ConfigurationAudit;
-import org.ragworttide.daemon.decision.LocalRetryBudget;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
 import org.ragworttide.daemon.operator.OperatorServer;
@@ -38,7 +38,7 @@
  */
 public final class Daemon {
   private static final double RETRY_SHARE = 0.1;
-  private static final double RETRY_BURST = 10;
+  private static final int RETRY_BURST = 10;
   private static final long GIVE_BACK_MILLIS = 3_500;
 
   private final DaemonSettings settings;
@@ -108,7 +108,7 @@
             new FleetClaims(loop, coordinator),
             new QuarantinedPlacement(
                 loop, coordinator.quarantineCommands(), facts.runs(), placement),
-            new LocalRetryBudget(RETRY_SHARE, RETRY_BURST));
+            new RetryBudget(RETRY_SHARE, RETRY_BURST));
     DaemonSettings.Address address = settings.peers().address();
     return peers
         .bind(address.host(), address.port())
--- a/daemon/src/test/java/org/ragworttide/daemon/PathFixture.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/PathFixture.java
@@ -16,11 +16,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.retry.RetryBudget;
 import org.ragworttide.daemon.decision.LocalClaims;
 import org.ragworttide.daemon.decision.LocalPlacement;
 import org.ragworttide.daemon.decision.LocalRateLimits;
-import org.ragworttide.daemon.decision.LocalRetryBudget;
-import org.ragworttide.daemon.decision.RetryBudget;
 import org.ragworttide.daemon.relay.RelayPorts;
 import org.ragworttide.document.ConfigurationDocument;
 import org.ragworttide.document.ConfigurationDocument.Fleet;
@@ -67,7 +66,7 @@
   }
 
   static PathFixture start(DaemonHttp.Settings settings, ScriptedUpstream.Script... scripts) {
-    return start(settings, new LocalRetryBudget(0.1, 100), scripts);
+    return start(settings, new RetryBudget(0.1, 100), scripts);
   }
 
   private static PathFixture start(
@@ -80,7 +79,7 @@
   }
 
   static PathFixture startWithoutRetries(ScriptedUpstream.Script... scripts) {
-    return start(defaults(), new LocalRetryBudget(0, 0), scripts);
+    return start(defaults(), new RetryBudget(0, 0), scripts);
   }
 
   static DaemonHttp.Settings defaults() {
--- a/daemon/src/test/java/org/ragworttide/daemon/relay/RelayTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/relay/RelayTest.java
@@ -18,11 +18,11 @@
 import org.ragworttide.coordination.id.OrganisationId;
 import org.ragworttide.coordination.id.RequestKey;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.retry.RetryBudget;
 import org.ragworttide.daemon.decision.AttemptOutcome;
 import org.ragworttide.daemon.decision.ClaimDecision;
 import org.ragworttide.daemon.decision.ClaimHandle;
 import org.ragworttide.daemon.decision.Deadline;
-import org.ragworttide.daemon.decision.LocalRetryBudget;
 import org.ragworttide.daemon.decision.PlacementDecision;
 import org.ragworttide.daemon.decision.PlacementRequest.Target;
 import org.ragworttide.daemon.decision.RateDecision;
@@ -50,7 +50,7 @@
           (organisation, request) -> Mono.just(new RateDecision.Admitted()),
           (organisation, key) -> claim.asMono(),
           request -> placement.asMono().doOnSubscribe(unused -> placing.countDown()),
-          new LocalRetryBudget(0, 0));
+          new RetryBudget(0, 0));
   private final Relay relay =
       new Relay(
           ports,
