Count an upstream that never answers as stalled

Cause: an attempt without a stream that was ended by its deadline or by the time for a late answer had no result and counted as cancelled, so an upstream that takes requests and never answers opened no breaker and did not turn cold.

Now it counts as stalled once it has been silent for as long as a stream may take to begin (30 s). Ruled out: blaming it at each deadline, since callers choose those.

AttemptTest.upstreamThatNeverAnswersCountsAsStalled failed before; with RelayTest, StreamFailureTest, DeadlineTest and ResendTest it passes.

--- a/daemon/src/main/java/org/ragworttide/daemon/relay/Attempt.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/Attempt.java
@@ -103,7 +103,7 @@
     if (event instanceof UpstreamEvent.Head head) {
       status = head.status();
       cacheReuse = head.headers().get(CACHE_REUSE, "");
-      firstByteMillis = (System.nanoTime() - startNanos) / NANOS_PER_MILLI;
+      firstByteMillis = elapsedMillis();
     }
   }
 
@@ -242,10 +242,10 @@
     return new AttemptOutcome.Answered(status, firstByteMillis);
   }
 
-  /** Returns what became of the attempt, a cancellation as long as there is no result. */
+  /** Returns what became of the attempt. */
   AttemptOutcome outcome() {
     return switch (result) {
-      case null -> new AttemptOutcome.Cancelled();
+      case null -> unanswered();
       case AttemptResult.Answered answered -> answered();
       case AttemptResult.Withheld withheld -> answered();
       case AttemptResult.Refused refused -> answered();
@@ -260,4 +260,14 @@
       case UpstreamEvent.Stalled stalled -> new AttemptOutcome.Stalled();
     };
   }
+
+  /** A caller that gives up soon says nothing of the upstream. */
+  private AttemptOutcome unanswered() {
+    boolean silent = status == 0 && elapsedMillis() >= settings.firstByteMillis();
+    return silent ? new AttemptOutcome.Stalled() : new AttemptOutcome.Cancelled();
+  }
+
+  private long elapsedMillis() {
+    return (System.nanoTime() - startNanos) / NANOS_PER_MILLI;
+  }
 }
