Open links to silent peers anew

Cause: a link kept its connection for as long as it looked open. After a partition without resets TCP resumes by growing waits of up to two minutes, and a middle box that takes bytes and passes nothing on was never noticed; a process test once waited 58 s for this. Daemons that had lost each other stayed apart long after the network was back.

--- a/daemon/src/main/java/org/ragworttide/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/peer/PeerLink.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import org.ragworttide.protocol.wire.PeerFrame;
 import reactor.core.Disposable;
+import reactor.core.Disposables;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -28,6 +29,7 @@
   private final PeerIdentity self;
   private final PeerTraffic traffic;
   private volatile Sinks.Many<PeerFrame> waiting;
+  private volatile Disposable connection = Disposables.disposed();
 
   PeerLink(TcpClient client, String host, int port, PeerIdentity self, PeerTraffic traffic) {
     this.client =
@@ -59,6 +61,13 @@
     }
   }
 
+  /** Closes the connection at once with what waits in it; the next offer opens another. */
+  void renew() {
+    dispose();
+    waiting = null;
+    connection.dispose();
+  }
+
   private Sinks.Many<PeerFrame> open() {
     Sinks.Many<PeerFrame> sink =
         Sinks.many()
@@ -67,13 +76,14 @@
     waiting = sink;
     Flux<PeerFrame> frames =
         sink.asFlux().timeout(IDLE_LIMIT, Flux.empty()).startWith(PeerFrames.hello(self));
-    client
-        .handle((inbound, outbound) -> write(outbound, frames))
-        .connect()
-        .flatMap(connection -> connection.onDispose())
-        .onErrorResume(e -> Mono.empty())
-        .doFinally(signal -> closed(sink))
-        .subscribe();
+    connection =
+        client
+            .handle((inbound, outbound) -> write(outbound, frames))
+            .connect()
+            .flatMap(opened -> opened.onDispose().doOnCancel(opened::dispose))
+            .onErrorResume(e -> Mono.empty())
+            .doFinally(signal -> closed(sink))
+            .subscribe();
     return sink;
   }
 
--- a/daemon/src/main/java/org/ragworttide/daemon/peer/PeerLinks.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/peer/PeerLinks.java
@@ -7,6 +7,7 @@
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.message.PeerMessage;
 import org.ragworttide.coordination.message.Transport;
+import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.protocol.PeerFrameCodec;
 import org.ragworttide.protocol.wire.PeerFrame;
 import reactor.netty.tcp.TcpClient;
@@ -22,6 +23,7 @@
   private final PeerIdentity self;
   private final PeerTraffic traffic;
   private final SendBudget budget;
+  private final TimerService time;
   private final Function<VmId, Optional<String>> addresses;
   private final Map<VmId, AddressedLink> links = new HashMap<>();
   private final Map<Seed, PeerLink> seeds = new HashMap<>();
@@ -31,6 +33,7 @@
    *
    * @param client how to connect, with TLS where settings ask for it
    * @param budget bounds the bytes a second; what exceeds it is dropped
+   * @param time the timer service
    * @param addresses tells a VM's peer address as host and port
    */
   public PeerLinks(
@@ -38,11 +41,13 @@
       PeerIdentity self,
       PeerTraffic traffic,
       SendBudget budget,
+      TimerService time,
       Function<VmId, Optional<String>> addresses) {
     this.client = client;
     this.self = self;
     this.traffic = traffic;
     this.budget = budget;
+    this.time = time;
     this.addresses = addresses;
   }
 
@@ -54,7 +59,15 @@
       traffic.droppedFrames.inc();
       return;
     }
-    link(to, address.get()).offer(frame);
+    link(to, address.get()).offer(frame, time.nowMillis());
+  }
+
+  /** Notes that a peer has sent something, so that its link is not taken for dead. */
+  void heard(VmId from) {
+    AddressedLink link = links.get(from);
+    if (link != null) {
+      link.heard();
+    }
   }
 
   void sendToSeed(String host, int port, PeerMessage message) {
@@ -71,29 +84,28 @@
 
   /** Closes all links once their waiting frames are written. */
   public void close() {
-    links.values().forEach(addressed -> addressed.link().dispose());
+    links.values().forEach(AddressedLink::dispose);
     links.clear();
     seeds.values().forEach(PeerLink::dispose);
     seeds.clear();
   }
 
-  private PeerLink link(VmId to, String address) {
+  private AddressedLink link(VmId to, String address) {
     AddressedLink existing = links.get(to);
-    if (existing != null && existing.address().equals(address)) {
-      return existing.link();
+    if (existing != null && existing.leadsTo(address)) {
+      return existing;
     }
     if (existing != null) {
-      existing.link().dispose();
+      existing.dispose();
     }
     int colon = address.lastIndexOf(':');
     String host = address.substring(0, colon);
     int port = Integer.parseInt(address.substring(colon + 1));
-    PeerLink link = new PeerLink(client, host, port, self, traffic);
-    links.put(to, new AddressedLink(address, link));
+    AddressedLink link =
+        new AddressedLink(address, new PeerLink(client, host, port, self, traffic));
+    links.put(to, link);
     return link;
   }
 
   private record Seed(String host, int port) {}
-
-  private record AddressedLink(String address, PeerLink link) {}
 }
--- a/daemon/src/main/java/org/ragworttide/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/peer/PeerNetwork.java
@@ -6,6 +6,7 @@
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.message.PeerMessage;
 import org.ragworttide.coordination.message.Transport;
+import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.tls.PeerTls;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -30,6 +31,7 @@
    * @param inbox where messages of peers go
    * @param addresses tells a VM's peer address as host and port
    * @param budget bounds the bytes a second that are sent
+   * @param time the timer service
    * @param metrics where traffic is counted
    * @param tls how peers prove who they are, empty for plain connections
    */
@@ -38,13 +40,14 @@
       PeerInbox inbox,
       Function<VmId, Optional<String>> addresses,
       SendBudget budget,
+      TimerService time,
       MetricRegistry metrics,
       Optional<PeerTls> tls) {
     PeerTraffic traffic = new PeerTraffic(metrics);
     TcpClient plain = TcpClient.newConnection();
     TcpClient client = tls.map(it -> it.secure(plain)).orElse(plain);
     this.listening = tls.map(it -> it.secure(TcpServer.create())).orElseGet(TcpServer::create);
-    this.links = new PeerLinks(client, self, traffic, budget, addresses);
+    this.links = new PeerLinks(client, self, traffic, budget, time, addresses);
     this.server = new PeerServer(self, inbox, traffic);
   }
 
@@ -58,6 +61,11 @@
     links.send(to, message);
   }
 
+  /** Notes that a peer has sent something; on the coordination thread. */
+  public void heard(VmId from) {
+    links.heard(from);
+  }
+
   /** Sends to whoever listens at an address, as long as no list tells the peers' addresses. */
   public void sendToSeed(String host, int port, PeerMessage message) {
     links.sendToSeed(host, port, message);
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/Daemon.java
@@ -62,7 +62,7 @@
     this.settings = settings;
     PeerIdentity self = new PeerIdentity(settings.fleet(), settings.vm(), incarnation);
     SendBudget budget = new SendBudget(loop, settings.control().budgetBytesPerSecond());
-    this.peers = new PeerNetwork(self, this::receive, this::address, budget, metrics, tls);
+    this.peers = new PeerNetwork(self, this::receive, this::address, budget, loop, metrics, tls);
     this.facts = new PlatformFacts(loop, configuration, audit);
     this.coordinator =
         new Coordinator(settings.vm(), incarnation, loop, peers, facts, RouterSettings.DEFAULTS);
@@ -174,6 +174,7 @@
   private void receive(VmId from, Incarnation run, PeerMessage message) {
     loop.execute(
         () -> {
+          peers.heard(from);
           coordinator.receive(from, message);
           seeds.received(message);
         });
--- a/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/peer/PeerNetworkTest.java
@@ -7,6 +7,8 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
 import java.util.Optional;
@@ -22,6 +24,7 @@
 import org.ragworttide.coordination.message.MembershipMessage;
 import org.ragworttide.coordination.message.PeerMessage;
 import org.ragworttide.coordination.time.ManualTimerService;
+import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.protocol.PeerFrameCodec;
 import org.ragworttide.protocol.wire.PeerFrame;
 import org.testng.annotations.AfterMethod;
@@ -50,6 +53,7 @@
             (from, run, message) -> received.add(message),
             vm -> Optional.empty(),
             new SendBudget(new ManualTimerService(), 100_000),
+            new ManualTimerService(),
             metrics,
             Optional.empty());
     receiver.bind(HOST, 0).block();
@@ -103,6 +107,40 @@
     sender.close();
   }
 
+  @Test
+  public void connectionOnWhichThePeerStaysSilentIsOpenedAnew() throws IOException {
+    ManualTimerService time = new ManualTimerService();
+    try (ServerSocket silent = new ServerSocket(0, 10, InetAddress.getByName(HOST))) {
+      silent.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LONG_ENOUGH_SECONDS));
+      PeerNetwork sender = sender("fleet", silent.getLocalPort(), time);
+      sender.send(new VmId("vm-1"), MESSAGE);
+      try (Socket first = silent.accept()) {
+        time.advance(AddressedLink.SILENCE_MILLIS);
+        sender.send(new VmId("vm-1"), MESSAGE);
+        silent.accept().close();
+        first.getInputStream().readAllBytes();
+      }
+      sender.close();
+    }
+  }
+
+  @Test
+  public void connectionToPeerThatIsHeardStaysOpen() throws IOException {
+    ManualTimerService time = new ManualTimerService();
+    try (ServerSocket quiet = new ServerSocket(0, 10, InetAddress.getByName(HOST))) {
+      PeerNetwork sender = sender("fleet", quiet.getLocalPort(), time);
+      sender.send(new VmId("vm-1"), MESSAGE);
+      try (Socket only = quiet.accept()) {
+        time.advance(AddressedLink.SILENCE_MILLIS);
+        sender.heard(new VmId("vm-1"));
+        sender.send(new VmId("vm-1"), MESSAGE);
+        sender.close();
+        int frame = PeerFrameCodec.encode(MESSAGE).getSerializedSize() + Integer.BYTES;
+        assertTrue(only.getInputStream().readAllBytes().length >= 2 * frame);
+      }
+    }
+  }
+
   @Test
   public void peerOfAnotherFleetIsRefused() throws InterruptedException {
     long before = refused();
@@ -194,11 +232,16 @@
   }
 
   private PeerNetwork sender(String fleet) {
+    return sender(fleet, port, new ManualTimerService());
+  }
+
+  private static PeerNetwork sender(String fleet, int peerPort, TimerService time) {
     return new PeerNetwork(
         identity(fleet, "vm-2"),
         (from, run, message) -> {},
-        vm -> Optional.of(HOST + ":" + port),
-        new SendBudget(new ManualTimerService(), 100_000),
+        vm -> Optional.of(HOST + ":" + peerPort),
+        new SendBudget(time, 100_000),
+        time,
         new MetricRegistry(),
         Optional.empty());
   }
--- a/daemon/src/test/java/org/ragworttide/daemon/peer/PeerTlsTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/peer/PeerTlsTest.java
@@ -81,6 +81,7 @@
         (from, run, message) -> received.add(message),
         to -> Optional.of(HOST + ":" + receiver.port()),
         new SendBudget(new ManualTimerService(), 100_000),
+        new ManualTimerService(),
         new MetricRegistry(),
         tls);
   }
