Tell results of orders and addresses of upstreams in one place each

An order's result was put into words twice, and two classes read the upstreams' addresses; behaviour is unchanged. *Order*Test, TwoOwnersTest, EngineCallsTest, PathTest and RelayTest pass.

--- a/coordination/src/main/java/org/ragworttide/coordination/orders/EngineControl.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/orders/EngineControl.java
@@ -155,20 +155,14 @@
     }
     onItsWay = OptionalLong.empty();
     settledAtMillis = nowMillis;
-    lastResult =
-        switch (result) {
-          case OrderResult.Accepted accepted -> {
-            believe(order);
-            yield "accepted";
-          }
-          case OrderResult.Old old -> {
-            newestNumber = Math.max(newestNumber, old.newestNumber());
-            yield "refused as older than " + old.newestNumber();
-          }
-          case OrderResult.Refused refused -> "refused: " + refused.reason();
-          case OrderResult.NotSent unsent -> "not sent: " + unsent.reason();
-          case OrderResult.Lost lost -> "no answer: " + lost.reason();
-        };
+    lastResult = result.inWords();
+    switch (result) {
+      case OrderResult.Accepted accepted -> believe(order);
+      case OrderResult.Old old -> newestNumber = Math.max(newestNumber, old.newestNumber());
+      default -> {
+        // The next report tells whether the order took effect.
+      }
+    }
   }
 
   /** Ends the wait for an order's answer. */
--- a/coordination/src/main/java/org/ragworttide/coordination/orders/OrderResult.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/orders/OrderResult.java
@@ -37,4 +37,15 @@
    * @param reason why
    */
   record Lost(String reason) implements OrderResult {}
+
+  /** Returns the result in words, for logs, the audit trail and the status. */
+  default String inWords() {
+    return switch (this) {
+      case Accepted accepted -> "accepted";
+      case Old old -> "refused as older than " + old.newestNumber();
+      case Refused refused -> "refused: " + refused.reason();
+      case NotSent unsent -> "not sent: " + unsent.reason();
+      case Lost lost -> "no answer: " + lost.reason();
+    };
+  }
 }
--- a/daemon/src/main/java/org/ragworttide/daemon/orders/OrderSender.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/orders/OrderSender.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -15,6 +14,7 @@
 import org.ragworttide.daemon.audit.AuditTrail;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
+import org.ragworttide.daemon.upstream.UpstreamAddresses;
 import org.ragworttide.document.ConfigurationDocument;
 import reactor.core.publisher.Mono;
 
@@ -62,11 +62,7 @@
 
   /** Takes the engines' addresses from a configuration. */
   public void apply(ConfigurationDocument document) {
-    Map<UpstreamId, InetSocketAddress> next = new HashMap<>();
-    document
-        .upstreams()
-        .forEach(upstream -> next.put(new UpstreamId(upstream.id()), address(upstream.address())));
-    addresses = next;
+    addresses = UpstreamAddresses.of(document);
   }
 
   @Override
@@ -95,9 +91,9 @@
     metrics.counter("orders;outcome=" + outcome).inc();
     LogEvent event =
         result instanceof OrderResult.Accepted ? LogEvent.ORDER_TAKEN : LogEvent.ORDER_FAILED;
-    EventLog.log(event, order.engine(), order.fencingNumber(), describe(result));
+    EventLog.log(event, order.engine(), order.fencingNumber(), result.inWords());
     audit.record(
-        AuditAction.ENGINE_ORDERED, actor, order.engine().value(), content, describe(result));
+        AuditAction.ENGINE_ORDERED, actor, order.engine().value(), content, result.inWords());
   }
 
   private static String outcome(OrderResult result) {
@@ -110,16 +106,6 @@
     };
   }
 
-  private static String describe(OrderResult result) {
-    return switch (result) {
-      case OrderResult.Accepted accepted -> "accepted";
-      case OrderResult.Old old -> "refused as older than " + old.newestNumber();
-      case OrderResult.Refused refused -> "refused: " + refused.reason();
-      case OrderResult.NotSent unsent -> "not sent: " + unsent.reason();
-      case OrderResult.Lost lost -> "no answer: " + lost.reason();
-    };
-  }
-
   private static String describe(EngineOrder order) {
     return "number %d, role %s, artifacts %s, fetch %s"
         .formatted(
@@ -128,10 +114,4 @@
             order.wanted().artifacts(),
             order.fetch().map(Object::toString).orElse("nothing"));
   }
-
-  private static InetSocketAddress address(String text) {
-    int colon = text.lastIndexOf(':');
-    return new InetSocketAddress(
-        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-  }
 }
--- a/daemon/src/main/java/org/ragworttide/daemon/runtime/RouterPlacement.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/runtime/RouterPlacement.java
@@ -20,9 +20,9 @@
 import org.ragworttide.daemon.decision.PlacementDecision;
 import org.ragworttide.daemon.decision.PlacementRefusal;
 import org.ragworttide.daemon.decision.PlacementRequest;
+import org.ragworttide.daemon.upstream.UpstreamAddresses;
 import org.ragworttide.document.ConfigurationDocument;
 import org.ragworttide.document.ConfigurationDocument.Organisation;
-import org.ragworttide.document.ConfigurationDocument.Upstream;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 
@@ -58,11 +58,7 @@
   }
 
   void apply(ConfigurationDocument document) {
-    Map<UpstreamId, InetSocketAddress> next = new HashMap<>();
-    for (Upstream upstream : document.upstreams()) {
-      next.put(new UpstreamId(upstream.id()), address(upstream.address()));
-    }
-    addresses = next;
+    addresses = UpstreamAddresses.of(document);
     Map<OrganisationId, Double> rates = new HashMap<>();
     for (Organisation organisation : document.organisations()) {
       rates.put(new OrganisationId(organisation.id()), organisation.ratePerSecond());
@@ -194,12 +190,6 @@
     };
   }
 
-  private static InetSocketAddress address(String text) {
-    int colon = text.lastIndexOf(':');
-    return new InetSocketAddress(
-        text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-  }
-
   /** A request on its way to a slot. */
   private record Waiting(
       PlacementRequest request,
