--- a/coordination/src/test/java/org/ragworttide/coordination/queueing/FairQueueTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/queueing/FairQueueTest.java
@@ -155,6 +155,18 @@
     assertTrue(queue.estimatedWaitMillis(LOUD, 1) / queue.size() <= 1_500);
   }
 
+  @Test
+  public void waitForTheFirstRequestCountsOnceForAllThatWait() {
+    for (int i = 0; i < 8; i++) {
+      queue.offer(work(LOUD, FAR, 0), 0);
+    }
+    queue.dispatch(entry -> false);
+    time.advance(2_000);
+    queue.dispatch(entry -> false);
+    long estimate = queue.estimatedWaitMillis(LOUD, 1);
+    assertTrue(estimate < 3_000, "estimate " + estimate + " after a wait of 2,000");
+  }
+
   @Test
   public void estimateGrowsWhileNothingIsSentOn() {
     holdAndSendOnAfter(100);
