--- a/bench/src/main/java/org/ragworttide/bench/routing/FleetBench.java
+++ b/bench/src/main/java/org/ragworttide/bench/routing/FleetBench.java
@@ -63,6 +63,8 @@
         tally.skewPercent.getValueAtPercentile(99) / 100.0,
         "skewMax",
         tally.skewPercent.getMaxValue() / 100.0,
+        "rampSkewMax",
+        tally.rampSkewPercent.getMaxValue() / 100.0,
         "firstTokenP50Millis",
         tally.firstToken.getValueAtPercentile(50),
         "firstTokenP95Millis",
--- a/bench/src/main/java/org/ragworttide/bench/routing/Simulation.java
+++ b/bench/src/main/java/org/ragworttide/bench/routing/Simulation.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.BiFunction;
+import org.ragworttide.coordination.routing.RouterSettings;
 import org.ragworttide.coordination.time.ManualTimerService;
 
 /**
@@ -31,6 +32,7 @@
   private final boolean[] open;
   private final BitSet seen;
   private final Strategy strategy;
+  private long rampUntilMillis;
 
   Simulation(
       Size size,
@@ -123,7 +125,8 @@
         max = Math.max(max, engines.get(i).inFlight());
       }
     }
-    tally.skew(time.nowMillis(), total == 0 ? 0 : (double) max * count / total);
+    boolean ramp = time.nowMillis() < rampUntilMillis;
+    tally.skew(time.nowMillis(), total == 0 ? 0 : (double) max * count / total, ramp);
   }
 
   private void plan() {
@@ -159,6 +162,9 @@
     for (int engine = 1; engine < size.engines(); engine += Size.ZONES) {
       open[engine] = in;
     }
+    if (in) {
+      rampUntilMillis = time.nowMillis() + RouterSettings.DEFAULTS.rampMillis() + VIEW_LAG_MILLIS;
+    }
     tellDaemons();
   }
 
--- a/bench/src/main/java/org/ragworttide/bench/routing/Tally.java
+++ b/bench/src/main/java/org/ragworttide/bench/routing/Tally.java
@@ -15,6 +15,7 @@
 
   final Histogram firstToken = new Histogram(MAX_MILLIS, 3);
   final Histogram skewPercent = new Histogram(1_000_000, 3);
+  final Histogram rampSkewPercent = new Histogram(1_000_000, 3);
   final List<Histogram> sliceFirstToken = new ArrayList<>();
   final long[] sliceReturning = new long[SLICES];
   final long[] sliceHits = new long[SLICES];
@@ -64,9 +65,10 @@
     }
   }
 
-  void skew(long atMillis, double multipleOfMean) {
+  void skew(long atMillis, double multipleOfMean, boolean ramp) {
     if (counts(atMillis)) {
-      skewPercent.recordValue(Math.round(multipleOfMean * 100));
+      Histogram histogram = ramp ? rampSkewPercent : skewPercent;
+      histogram.recordValue(Math.round(multipleOfMean * 100));
       int slice = slice(atMillis);
       sliceSkew[slice] = Math.max(sliceSkew[slice], multipleOfMean);
     }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/CandidateSet.java
@@ -13,6 +13,7 @@
  */
 final class CandidateSet {
   private static final double MIN_SHARE = 0.02;
+  private static final double UNSEEN_REQUESTS = 1;
   private static final long VISITED = Long.MIN_VALUE;
 
   private final UpstreamTracker[] trackers;
@@ -71,7 +72,7 @@
       }
       open++;
       own += tracker.inFlight();
-      double share = Math.max(MIN_SHARE, tracker.share(nowMillis, settings.rampMillis()));
+      double share = Math.max(MIN_SHARE, tracker.share(nowMillis));
       shares[i] = share;
       maxShare = Math.max(maxShare, share);
       if (tracker.isFresh(nowMillis, settings.reportStaleMillis())) {
@@ -140,8 +141,9 @@
       double bound = settings.loadMultiple() * share * meanOwn;
       return tracker.inFlight() + 1 <= Math.floor(bound + fleet.roundingOffset(tracker.hash));
     }
-    double hard = Math.max(1, settings.loadMultiple() * share * meanLoad);
-    double soft = settings.softMultiple() * share * meanLoad;
+    double bound = settings.loadMultiple() * share * meanLoad;
+    double hard = Math.max(1, bound - UNSEEN_REQUESTS);
+    double soft = Math.min(hard, settings.softMultiple() * share * meanLoad);
     double load = tracker.estimate(scale, now);
     return load + 1 <= hard && (load <= soft || threshold < (hard - load) / (hard - soft));
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/RouterSettings.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/RouterSettings.java
@@ -10,7 +10,7 @@
  * @param walkLength candidates of a chat that are tried before the least loaded engine is taken
  * @param reportStaleMillis age at which a load report is no longer used
  * @param futureToleranceMillis how far ahead of now a report may claim to be measured
- * @param rampMillis how long an engine that returns takes to get its whole share
+ * @param rampMillis how long an engine that returns takes at most to get its whole share
  * @param maxPlausibleLoad greatest count that a report may hold
  * @param hintEntries chats whose place is remembered as a hint
  * @param retryAfterMillis what a refusal tells to wait
@@ -28,7 +28,7 @@
 
   /** The settings for engines that report about once a second. */
   public static final RouterSettings DEFAULTS =
-      new RouterSettings(1.5, 1.2, 8, 10_000, 1_000, 60_000, 100_000, 1 << 16, 250);
+      new RouterSettings(1.5, 1.35, 8, 10_000, 1_000, 60_000, 100_000, 1 << 16, 250);
 
   /** Checks that the settings fit together. */
   public RouterSettings {
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingFacts.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingFacts.java
@@ -96,7 +96,7 @@
   private boolean accept(UpstreamTracker tracker, LoadReport report) {
     boolean restarted = tracker.report(report);
     if (restarted) {
-      tracker.restartRamp(time.nowMillis());
+      tracker.ramp(time.nowMillis(), settings.rampMillis());
       tracker.forgetCacheSequence();
       state.hints().forgetUpstream(tracker.hash);
     }
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingState.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/RoutingState.java
@@ -90,7 +90,10 @@
     for (UpstreamTracker tracker : trackers.values()) {
       UpstreamSpec spec = tracker.spec();
       boolean zoneIn = zones.getOrDefault(spec.zone(), ZoneState.IN) == ZoneState.IN;
-      tracker.open(spec.inService() && zoneIn, ramp, nowMillis);
+      tracker.open(spec.inService() && zoneIn, nowMillis, settings.rampMillis());
+      if (!ramp) {
+        tracker.endRamp();
+      }
     }
   }
 
--- a/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamTracker.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/routing/UpstreamTracker.java
@@ -15,6 +15,8 @@
   private UpstreamSpec spec;
   private boolean open;
   private long rampStartMillis = NEVER;
+  private long rampMillis = 1;
+  private long closedAtMillis = NEVER;
   private long measuredAtMillis = NEVER;
   private long incarnation;
   private long reported;
@@ -37,14 +39,28 @@
     this.spec = newSpec;
   }
 
-  /** Opens or closes the upstream to new work; a ramp begins when it opens again. */
-  void open(boolean nowOpen, boolean ramp, long nowMillis) {
-    if (nowOpen && !open && ramp) {
-      rampStartMillis = nowMillis;
+  /** Opens or closes the upstream to new work; it ramps up for as long as it was closed. */
+  void open(boolean nowOpen, long nowMillis, long rampMillis) {
+    if (nowOpen && !open) {
+      boolean shortPause = closedAtMillis != NEVER && nowMillis - closedAtMillis < rampMillis;
+      ramp(nowMillis, shortPause ? nowMillis - closedAtMillis : rampMillis);
+    } else if (!nowOpen && open) {
+      closedAtMillis = nowMillis;
     }
     open = nowOpen;
   }
 
+  /** Begins to ramp up from nothing over the given time. */
+  void ramp(long nowMillis, long millis) {
+    rampStartMillis = nowMillis;
+    rampMillis = Math.max(1, millis);
+  }
+
+  /** Ends the ramp at once. */
+  void endRamp() {
+    rampStartMillis = NEVER;
+  }
+
   boolean isOpen() {
     return open;
   }
@@ -79,10 +95,6 @@
     return restarted;
   }
 
-  void restartRamp(long nowMillis) {
-    rampStartMillis = nowMillis;
-  }
-
   /** Takes a cache event's number over unless a later one has come. */
   boolean cacheSequence(long sequence) {
     if (sequence <= lastCacheSequence) {
@@ -114,7 +126,7 @@
   }
 
   /** Returns the share of its work that the upstream gets while it returns, up to 1. */
-  double share(long nowMillis, long rampMillis) {
+  double share(long nowMillis) {
     if (rampStartMillis == NEVER || nowMillis - rampStartMillis >= rampMillis) {
       return 1;
     }
--- a/coordination/src/test/java/org/ragworttide/coordination/routing/RouterTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/routing/RouterTest.java
@@ -87,6 +87,7 @@
     RouterFixture fleet = new RouterFixture(1);
     Router router = fleet.routers.getFirst();
     router.facts().zones(Map.of(zone(1), ZoneState.OUT));
+    fleet.time.advance(RouterSettings.DEFAULTS.rampMillis());
     router.facts().zones(Map.of());
     int last = -1;
     for (int step = 0; step <= 4; step++) {
@@ -103,6 +104,27 @@
     assertTrue(last > CHATS / 5, "chats at home at the end: " + last);
   }
 
+  @Test
+  public void engineThatFlapsRampsOnlyAsLongAsItWasAway() {
+    RouterFixture fleet = new RouterFixture(1);
+    fleet.reportAll(1, 10);
+    Router router = fleet.routers.getFirst();
+    List<UpstreamSpec> without = specs(ENGINES);
+    without.set(4, spec(4, false));
+    Set<Integer> home = new HashSet<>();
+    for (int chat = 0; chat < CHATS; chat++) {
+      if (place(router, "chat-" + chat).equals(id(4))) {
+        home.add(chat);
+      }
+    }
+    router.facts().upstreams(without);
+    fleet.time.advance(3_000);
+    router.facts().upstreams(specs(ENGINES));
+    home.forEach(chat -> assertNotEquals(place(router, "chat-" + chat), id(4)));
+    fleet.time.advance(3_000);
+    home.forEach(chat -> assertEquals(place(router, "chat-" + chat), id(4)));
+  }
+
   @Test
   public void engineAboveItsBoundGetsNothing() {
     RouterFixture fleet = new RouterFixture(1);
