--- a/bench/src/main/java/org/ragworttide/bench/Main.java
+++ b/bench/src/main/java/org/ragworttide/bench/Main.java
@@ -5,6 +5,8 @@
 import java.util.TreeMap;
 import java.util.function.ToIntFunction;
 import org.ragworttide.bench.coordination.CoordinationBenchmark;
+import org.ragworttide.bench.fleet.FleetBenchmark;
+import org.ragworttide.bench.path.PathBenchmark;
 import org.ragworttide.bench.routing.RoutingBench;
 
 /** Starts the measurement named first on the command line; stateless. */
@@ -15,6 +17,10 @@
           Map.of(
               "coordination",
               options -> run(new CoordinationBenchmark()),
+              "fleet",
+              options -> run(new FleetBenchmark()),
+              "path",
+              options -> run(new PathBenchmark()),
               "routing",
               RoutingBench::run));
 
--- a/bench/src/main/java/org/ragworttide/bench/coordination/TrialSize.java
+++ b/bench/src/main/java/org/ragworttide/bench/coordination/TrialSize.java
@@ -11,10 +11,11 @@
  * @param rates each organisation's rate a second
  * @param durationMillis simulated time that is measured
  */
-record TrialSize(int vms, Map<OrganisationId, Double> rates, int durationMillis) {
+public record TrialSize(int vms, Map<OrganisationId, Double> rates, int durationMillis) {
 
   /** Returns organisations of different sizes that send the given requests a second together. */
-  static TrialSize of(int vms, int organisations, double requestsPerSecond, int durationMillis) {
+  public static TrialSize of(
+      int vms, int organisations, double requestsPerSecond, int durationMillis) {
     double weights = 0;
     for (int i = 0; i < organisations; i++) {
       weights += weight(i);
--- /dev/null
+++ b/bench/src/main/java/org/ragworttide/bench/fleet/FleetMeter.java
@@ -0,0 +1,101 @@
+package org.ragworttide.bench.fleet;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.message.PeerMessage;
+import org.ragworttide.protocol.PeerFrameCodec;
+import org.ragworttide.protocol.wire.PeerFrame;
+
+/**
+ * Encodes and decodes every message as a daemon does and counts the bytes of each VM and topic.
+ *
+ * <p>Invariant: bytes are those of the length-prefixed frames, without the headers of TCP and IP.
+ * Not safe for use by several threads.
+ */
+final class FleetMeter {
+  private static final int LENGTH_BYTES = 4;
+
+  private final Map<Topic, Map<VmId, Long>> sent = new EnumMap<>(Topic.class);
+  private final Map<Topic, Map<VmId, Long>> received = new EnumMap<>(Topic.class);
+  private final Map<VmId, Long> sentThisSecond = new HashMap<>();
+  private long worstSecond;
+
+  FleetMeter() {
+    reset();
+  }
+
+  void take(VmId from, VmId to, PeerMessage message) {
+    byte[] bytes = PeerFrameCodec.encode(message).toByteArray();
+    decode(bytes);
+    Topic topic = Topic.of(message);
+    long size = LENGTH_BYTES + bytes.length;
+    sent.get(topic).merge(from, size, Long::sum);
+    received.get(topic).merge(to, size, Long::sum);
+    sentThisSecond.merge(from, size, Long::sum);
+  }
+
+  /** Closes a second, of which the busiest VM is remembered. */
+  void endSecond() {
+    worstSecond = Math.max(worstSecond, most(sentThisSecond));
+    sentThisSecond.clear();
+  }
+
+  void reset() {
+    for (Topic topic : Topic.values()) {
+      sent.put(topic, new HashMap<>());
+      received.put(topic, new HashMap<>());
+    }
+    sentThisSecond.clear();
+    worstSecond = 0;
+  }
+
+  /** Returns the bytes that all VMs sent about the topic. */
+  long sent(Topic topic) {
+    return sent.get(topic).values().stream().mapToLong(Long::longValue).sum();
+  }
+
+  /** Returns the most bytes that one VM sent about the topic. */
+  long mostSent(Topic topic) {
+    return most(sent.get(topic));
+  }
+
+  /** Returns the most bytes that one VM sent. */
+  long mostSent() {
+    return most(total(sent));
+  }
+
+  /** Returns the most bytes that one VM received. */
+  long mostReceived() {
+    return most(total(received));
+  }
+
+  /** Returns the most bytes that one VM sent within a second. */
+  long worstSecond() {
+    return worstSecond;
+  }
+
+  private static Map<VmId, Long> total(Map<Topic, Map<VmId, Long>> byTopic) {
+    Map<VmId, Long> total = new HashMap<>();
+    for (Map<VmId, Long> bytes : byTopic.values()) {
+      bytes.forEach((vm, count) -> total.merge(vm, count, Long::sum));
+    }
+    return total;
+  }
+
+  private static long most(Map<VmId, Long> bytes) {
+    return bytes.values().stream().mapToLong(Long::longValue).max().orElse(0);
+  }
+
+  private static void decode(byte[] bytes) {
+    try {
+      if (PeerFrameCodec.decode(PeerFrame.parseFrom(bytes)).isEmpty()) {
+        throw new IllegalStateException("own message refused");
+      }
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException("own message refused", e);
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/ragworttide/bench/path/BenchFleet.java
@@ -0,0 +1,149 @@
+package org.ragworttide.bench.path;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.id.ZoneId;
+import org.ragworttide.coordination.membership.VmEntry;
+import org.ragworttide.coordination.membership.VmState;
+import org.ragworttide.fakes.FakeEngine;
+import org.ragworttide.fakes.FakeSet;
+
+/**
+ * Three daemons before one stand-in engine, on loopback; the first daemon is the measured one.
+ *
+ * <p>Invariant: closing stops everything that was started. Used by one thread.
+ */
+final class BenchFleet implements AutoCloseable {
+  /** The caller's key. */
+  static final String KEY = "bench-key";
+
+  private static final String JAVA_OPTIONS = "-Xmx256m -XX:+UseSerialGC -XX:-UsePerfData";
+  private static final List<String> ZONES = List.of("heraklion", "chania", "rethymno");
+  private static final int PORTS_A_DAEMON = 3;
+  private static final String DOCUMENT =
+      """
+      {
+        "version": 1,
+        "fleet": { "name": "bench", "maxEntryVms": 4, "loadMultiple": 1.5,
+          "claimRetentionSeconds": 12 },
+        "zones": [ { "id": "heraklion", "service": "IN" }, { "id": "chania", "service": "IN" },
+          { "id": "rethymno", "service": "IN" } ],
+        "organisations": [ { "id": "bench", "ratePerSecond": 100000, "burst": 100000 } ],
+        "keys": [ { "organisation": "bench", "sha256": "%s", "withdrawn": false } ],
+        "upstreams": [ { "id": "engine-1", "kind": "ENGINE", "zone": "heraklion",
+          "address": "127.0.0.1:%d", "models": ["repair-8b"], "service": "IN",
+          "coldConcurrency": 16 } ],
+        "routes": [ { "id": "chat", "path": "/v1/chat/completions", "kind": "CHAT",
+          "open": false, "idempotent": true, "windowMillis": 60000, "upstreams": [] } ]
+      }
+      """;
+
+  private final Path folder = Files.createTempDirectory("ragworttide-bench");
+  private final List<BenchDaemon> daemons = new ArrayList<>();
+  private final FakeSet fakes;
+  private final int callersPort;
+
+  private BenchFleet() throws IOException {
+    fakes = FakeSet.start(new FakeSet.Ports(0, List.of(0), 0), Set.of(KEY));
+    String document = DOCUMENT.formatted(sha256(KEY), engine().port());
+    fakes.platform().publish("configuration", 1, document.getBytes(StandardCharsets.UTF_8));
+    List<BenchDaemon.Place> places = places();
+    callersPort = places.getFirst().callers();
+    fakes.platform().publishVms(places.stream().map(BenchFleet::entry).toList());
+    for (BenchDaemon.Place place : places) {
+      daemons.add(BenchDaemon.start(folder, place, fakes.platform().port(), JAVA_OPTIONS));
+    }
+  }
+
+  /** Starts everything; the daemons need some seconds until they serve. */
+  static BenchFleet start() throws IOException {
+    return new BenchFleet();
+  }
+
+  FakeEngine engine() {
+    return fakes.engines().getFirst();
+  }
+
+  BenchDaemon measured() {
+    return daemons.getFirst();
+  }
+
+  int callersPort() {
+    return callersPort;
+  }
+
+  @Override
+  public void close() {
+    daemons.forEach(BenchDaemon::stop);
+    fakes.close();
+    deleteFolder();
+  }
+
+  private static VmEntry entry(BenchDaemon.Place place) {
+    return new VmEntry(
+        new VmId(place.vm()), new ZoneId(place.zone()), VmState.LIVE, "127.0.0.1:" + place.peers());
+  }
+
+  private static List<BenchDaemon.Place> places() throws IOException {
+    List<Integer> ports = freePorts(ZONES.size() * PORTS_A_DAEMON);
+    List<BenchDaemon.Place> places = new ArrayList<>();
+    for (int i = 0; i < ZONES.size(); i++) {
+      int first = i * PORTS_A_DAEMON;
+      places.add(
+          new BenchDaemon.Place(
+              "vm-" + (i + 1),
+              ZONES.get(i),
+              ports.get(first),
+              ports.get(first + 1),
+              ports.get(first + 2)));
+    }
+    return places;
+  }
+
+  private static List<Integer> freePorts(int count) throws IOException {
+    List<ServerSocket> sockets = new ArrayList<>();
+    try {
+      for (int i = 0; i < count; i++) {
+        sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+      }
+      return sockets.stream().map(ServerSocket::getLocalPort).toList();
+    } finally {
+      for (ServerSocket socket : sockets) {
+        socket.close();
+      }
+    }
+  }
+
+  private static String sha256(String key) {
+    try {
+      byte[] digest =
+          MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
+      return HexFormat.of().formatHex(digest);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java runtime has SHA-256", e);
+    }
+  }
+
+  private void deleteFolder() {
+    try (Stream<Path> paths = Files.walk(folder)) {
+      for (Path path : paths.sorted(Comparator.reverseOrder()).toList()) {
+        Files.deleteIfExists(path);
+      }
+    } catch (IOException e) {
+      System.err.println("bench: can't remove " + folder + ": " + e.getMessage());
+    }
+  }
+}
