--- a/bench/src/main/java/org/ragworttide/bench/coordination/TrafficMeasures.java
+++ b/bench/src/main/java/org/ragworttide/bench/coordination/TrafficMeasures.java
@@ -1,11 +1,11 @@
 package org.ragworttide.bench.coordination;
 
-import java.lang.management.ManagementFactory;
 import java.lang.ref.Reference;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.ragworttide.bench.Meters;
 import org.ragworttide.bench.Report;
 import org.ragworttide.coordination.limits.LimitSettings;
 import org.ragworttide.coordination.versions.SpreadFleet;
@@ -74,20 +74,20 @@
     TrafficMeter meter = new TrafficMeter();
     TrialSize size =
         TrialSize.of(vms, ORGANISATIONS, REQUESTS_PER_SECOND_A_NODE * vms, DURATION_MILLIS);
-    final long heapBefore = usedHeap();
+    final long heapBefore = Meters.usedHeapBytes();
     LimitSettings settings = LimitSettings.of(vms + 1);
     LimitTrial trial = new LimitTrial(size, LoadPattern.EVEN, settings, seed, meter);
-    final long cpuBefore = cpuNanos();
+    final long cpuBefore = Meters.cpuNanos();
     trial.run();
-    final long cpu = cpuNanos() - cpuBefore;
-    final double heap = (double) (usedHeap() - heapBefore) / vms;
+    final long cpu = Meters.cpuNanos() - cpuBefore;
+    final double heap = (double) (Meters.usedHeapBytes() - heapBefore) / vms;
     long simulated = LimitTrial.warmUpMillis(settings) + DURATION_MILLIS;
     return sample(meter, vms, DURATION_MILLIS, simulated, cpu, heap, trial);
   }
 
   private static Sample views(int vms, long seed) {
     TrafficMeter meter = new TrafficMeter();
-    final long heapBefore = usedHeap();
+    final long heapBefore = Meters.usedHeapBytes();
     SpreadFleet fleet = new SpreadFleet(seed, vms, meter);
     byte[] document = SpreadFleet.document(1, DOCUMENT_BYTES);
     fleet.publish(1, document);
@@ -95,12 +95,12 @@
     fleet.vms.forEach(vm -> fleet.at(vm).start());
     fleet.time.advance(WARM_UP_MILLIS);
     meter.reset();
-    final long cpuBefore = cpuNanos();
+    final long cpuBefore = Meters.cpuNanos();
     fleet.publish(2, SpreadFleet.document(2, DOCUMENT_BYTES));
     fleet.readersRead();
     fleet.time.advance(CHANGE_PERIOD_MILLIS);
-    final long cpu = cpuNanos() - cpuBefore;
-    final double heap = (double) (usedHeap() - heapBefore) / vms;
+    final long cpu = Meters.cpuNanos() - cpuBefore;
+    final double heap = (double) (Meters.usedHeapBytes() - heapBefore) / vms;
     return sample(meter, vms, CHANGE_PERIOD_MILLIS, CHANGE_PERIOD_MILLIS, cpu, heap, fleet);
   }
 
@@ -119,15 +119,5 @@
     return new Sample(meter.meanSent(vms) / seconds, worst, core, heap);
   }
 
-  private static long cpuNanos() {
-    return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
-  }
-
-  private static long usedHeap() {
-    System.gc();
-    Runtime runtime = Runtime.getRuntime();
-    return runtime.totalMemory() - runtime.freeMemory();
-  }
-
   private record Sample(double meanBytes, double worstBytes, double coreShare, double heapBytes) {}
 }
--- a/bench/src/main/java/org/ragworttide/bench/fleet/FleetBenchmark.java
+++ b/bench/src/main/java/org/ragworttide/bench/fleet/FleetBenchmark.java
@@ -1,6 +1,5 @@
 package org.ragworttide.bench.fleet;
 
-import java.lang.management.ManagementFactory;
 import java.lang.ref.Reference;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -8,6 +7,7 @@
 import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
 import org.ragworttide.bench.Benchmark;
+import org.ragworttide.bench.Meters;
 import org.ragworttide.bench.Report;
 import org.ragworttide.bench.coordination.TrialSize;
 import org.ragworttide.coordination.limits.RefusalReason;
@@ -65,7 +65,7 @@
     Engines engines = new Engines(Math.ceilDiv(vms * TARGET_ENGINES, TARGET_VMS));
     double rate = REQUESTS_PER_SECOND_A_NODE * vms;
     TrialSize size = TrialSize.of(vms, ORGANISATIONS, rate, CHANGE_PERIOD_MILLIS);
-    final long heapBefore = usedHeap();
+    final long heapBefore = Meters.usedHeapBytes();
     WholeFleet whole = new WholeFleet(SEED, size, engines, meter);
     whole.fleet.network().faults(loss, 0, DELIVERY_MILLIS);
     whole.publish();
@@ -76,16 +76,16 @@
     final WholeLoad.Outcomes outcomes = load.count();
     final Spread spread = new Spread(whole);
     whole.publish();
-    final long cpuBefore = cpuNanos();
+    final long cpuBefore = Meters.cpuNanos();
     load.run(
         CHANGE_PERIOD_MILLIS,
         () -> {
           meter.endSecond();
           spread.secondPassed();
         });
-    final double core = (cpuNanos() - cpuBefore) / 1e6 / CHANGE_PERIOD_MILLIS / vms;
+    final double core = (Meters.cpuNanos() - cpuBefore) / 1e6 / CHANGE_PERIOD_MILLIS / vms;
     report.atMost("coreShareOfNode", labels, List.of(core), MAX_CORE_SHARE);
-    double heap = (double) (usedHeap() - heapBefore) / vms;
+    double heap = (double) (Meters.usedHeapBytes() - heapBefore) / vms;
     Reference.reachabilityFence(load);
     report.atMost("heapBytesOfNode", labels, List.of(heap), MAX_HEAP_BYTES);
     report.atMost("versionInForceMillis", labels, List.of(spread.millis()), MAX_SPREAD_MILLIS);
@@ -157,16 +157,6 @@
     return labels;
   }
 
-  private static long cpuNanos() {
-    return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
-  }
-
-  private static long usedHeap() {
-    System.gc();
-    Runtime runtime = Runtime.getRuntime();
-    return runtime.totalMemory() - runtime.freeMemory();
-  }
-
   /** Finds the second in which the last VM had the new version. */
   private static final class Spread {
     private static final double SECOND_MILLIS = 1_000;
--- a/bench/src/main/java/org/ragworttide/bench/path/BenchFleet.java
+++ b/bench/src/main/java/org/ragworttide/bench/path/BenchFleet.java
@@ -1,8 +1,6 @@
 package org.ragworttide.bench.path;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,6 +18,7 @@
 import org.ragworttide.coordination.membership.VmState;
 import org.ragworttide.fakes.FakeEngine;
 import org.ragworttide.fakes.FakeSet;
+import org.ragworttide.fakes.FreePorts;
 
 /**
  * Three daemons before one stand-in engine, on loopback; the first daemon is the measured one.
@@ -98,7 +97,7 @@
   }
 
   private static List<BenchDaemon.Place> places() throws IOException {
-    List<Integer> ports = freePorts(ZONES.size() * PORTS_A_DAEMON);
+    List<Integer> ports = FreePorts.find(ZONES.size() * PORTS_A_DAEMON);
     List<BenchDaemon.Place> places = new ArrayList<>();
     for (int i = 0; i < ZONES.size(); i++) {
       int first = i * PORTS_A_DAEMON;
@@ -113,20 +112,6 @@
     return places;
   }
 
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    try {
-      for (int i = 0; i < count; i++) {
-        sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-      }
-      return sockets.stream().map(ServerSocket::getLocalPort).toList();
-    } finally {
-      for (ServerSocket socket : sockets) {
-        socket.close();
-      }
-    }
-  }
-
   private static String sha256(String key) {
     try {
       byte[] digest =
