--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -0,0 +1,115 @@
+package org.ragworttide.coordination.placement;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Places requests on model engines so that shared prompt parts are read on few of them.
+ *
+ * <p>Answers two patterns: many sessions over a few long first parts, where placement by session
+ * alone reads each first part on every engine; and a hot session, which must not fill its engine.
+ * The first part names a small group of engines by rendezvous hashing, as large as its share of
+ * requests; the last part names the engine in the group. An engine above the load bound is passed
+ * over for the next in the same order, so that all VMs spill to the same engines.
+ *
+ * <p>Invariant: the chosen engine is a candidate and, if any candidate is within the bound, is
+ * within it itself. Confined to one thread.
+ */
+public final class EnginePlacement {
+  /** Engines for a first part, per engine that its share of requests would fill. */
+  private static final double GROUP_HEADROOM = 2;
+
+  /** Multiple of the mean load that an engine may have; rules forbid twice the mean and three. */
+  private static final double LOAD_BOUND = 1.5;
+
+  /** Requests above the multiple of the mean, for small means. */
+  private static final int LOAD_SLACK = 2;
+
+  /** First parts counted before all counts are halved. */
+  private static final int DEMAND_WINDOW = 512;
+
+  private final Map<Long, Integer> demand = new HashMap<>();
+  private int counted;
+
+  /**
+   * Chooses an engine.
+   *
+   * @param prompt the request's prompt
+   * @param candidates engines that may take the request
+   * @param nowMillis the time
+   * @return the engine, empty if there is no candidate that admits the request
+   */
+  public Optional<UpstreamLoad> choose(
+      Prompt prompt, List<UpstreamLoad> candidates, long nowMillis) {
+    List<UpstreamLoad> open = Warmth.preferWarm(candidates, nowMillis);
+    if (open.isEmpty()) {
+      return Optional.empty();
+    }
+    double bound = bound(open, nowMillis);
+    if (prompt.parts().isEmpty()) {
+      return leastLoaded(open, nowMillis);
+    }
+    long first = prompt.parts().getFirst().idHash();
+    long last = prompt.parts().getLast().idHash();
+    List<UpstreamLoad> order = byWeight(open, first);
+    int group = Math.min(order.size(), groupSize(first, open.size()));
+    return within(byWeight(order.subList(0, group), last), bound, nowMillis)
+        .or(() -> within(order.subList(group, order.size()), bound, nowMillis))
+        .or(() -> leastLoaded(open, nowMillis));
+  }
+
+  private int groupSize(long first, int engines) {
+    int count = demand.merge(first, 1, Integer::sum);
+    counted++;
+    double share = (double) count / counted;
+    if (counted >= DEMAND_WINDOW) {
+      halveDemand();
+    }
+    return Math.max(1, (int) Math.ceil(share * engines * GROUP_HEADROOM));
+  }
+
+  private void halveDemand() {
+    counted = 0;
+    for (Iterator<Map.Entry<Long, Integer>> all = demand.entrySet().iterator(); all.hasNext(); ) {
+      Map.Entry<Long, Integer> entry = all.next();
+      int half = entry.getValue() / 2;
+      counted += half;
+      entry.setValue(half);
+      if (half == 0) {
+        all.remove();
+      }
+    }
+  }
+
+  private static double bound(List<UpstreamLoad> open, long nowMillis) {
+    int sum = 0;
+    for (UpstreamLoad engine : open) {
+      sum += engine.estimate(nowMillis);
+    }
+    return LOAD_BOUND * sum / open.size() + LOAD_SLACK;
+  }
+
+  private static Optional<UpstreamLoad> within(
+      List<UpstreamLoad> order, double bound, long nowMillis) {
+    for (UpstreamLoad engine : order) {
+      if (engine.estimate(nowMillis) + 1 <= bound) {
+        return Optional.of(engine);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static Optional<UpstreamLoad> leastLoaded(List<UpstreamLoad> open, long nowMillis) {
+    return open.stream().min(Comparator.comparingInt(engine -> engine.estimate(nowMillis)));
+  }
+
+  private static List<UpstreamLoad> byWeight(List<UpstreamLoad> engines, long keyHash) {
+    return engines.stream()
+        .sorted(Comparator.comparingLong((UpstreamLoad it) -> it.weight(keyHash)).reversed())
+        .toList();
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/ServicePlacement.java
@@ -0,0 +1,45 @@
+package org.ragworttide.coordination.placement;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.ragworttide.coordination.id.ZoneId;
+
+/**
+ * Places requests on the few servers of a plain service by expected time to answer.
+ *
+ * <p>Answers the pattern of small servers (a few slots each) of different speed before which many
+ * VMs, each seeing a part of the requests, send bursts: a VM queues behind its own requests only
+ * where the server is quick, and crosses zones only if the near server is busier.
+ *
+ * <p>Invariant: the chosen upstream is a candidate. Confined to one thread.
+ */
+public final class ServicePlacement {
+  /** Milliseconds that count for a request to another zone: a few round trips between zones. */
+  private static final double OTHER_ZONE_MILLIS = 10;
+
+  /** Milliseconds expected of an upstream that has not answered yet. */
+  private static final double UNKNOWN_DURATION_MILLIS = 20;
+
+  private final ZoneId ownZone;
+
+  /** Creates the placement of a VM in the zone. */
+  public ServicePlacement(ZoneId ownZone) {
+    this.ownZone = ownZone;
+  }
+
+  /** Chooses an upstream, empty if no candidate admits a request. */
+  public Optional<UpstreamLoad> choose(List<UpstreamLoad> candidates, long nowMillis) {
+    return Warmth.preferWarm(candidates, nowMillis).stream()
+        .min(Comparator.comparingDouble(this::expectedMillis));
+  }
+
+  private double expectedMillis(UpstreamLoad upstream) {
+    double duration =
+        upstream.meanDurationMillis() == 0
+            ? UNKNOWN_DURATION_MILLIS
+            : upstream.meanDurationMillis();
+    double queued = duration * (1 + (double) upstream.inFlight());
+    return upstream.zone().equals(ownZone) ? queued : queued + OTHER_ZONE_MILLIS;
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -18,6 +18,10 @@
   STOPPED(1004, Level.INFO, "stopped after draining"),
   /** A task broke an invariant and the process ends. */
   INVARIANT_BROKEN(1005, Level.FATAL, "broken invariant: %s"),
+  /** Lines were dropped since the output did not take them. */
+  LINES_DROPPED(1006, Level.WARN, "log lines dropped so far: %s"),
+  /** The settings were read again. */
+  SETTINGS_RELOADED(1007, Level.INFO, "settings read again: %s"),
   /** A configuration version is in force. */
   CONFIGURATION_APPLIED(2001, Level.INFO, "configuration version %s in force, after %s"),
   /** A configuration version was refused and the last good one stays. */
@@ -49,7 +53,31 @@
   /** An engine took an order. */
   ORDER_TAKEN(6002, Level.INFO, "engine %s, order of version %s: %s"),
   /** An engine did not take an order, or its answer is not known. */
-  ORDER_FAILED(6003, Level.WARN, "engine %s, order of version %s: %s");
+  ORDER_FAILED(6003, Level.WARN, "engine %s, order of version %s: %s"),
+  /** A caller got an upstream's answer. */
+  RELAY_ANSWERED(7001, Level.INFO, "request %s answered %s by %s after %s ms"),
+  /** The gateway answered a request itself. */
+  RELAY_REFUSED(7002, Level.INFO, "request %s refused as %s: %s, after %s ms"),
+  /** An upstream failed a request. */
+  RELAY_ATTEMPT_FAILED(7003, Level.INFO, "request %s failed at %s: %s, after %s ms"),
+  /** An answer was broken off. */
+  RELAY_ABORTED(7004, Level.INFO, "request %s broken off: %s, after %s ms"),
+  /** A caller left before its answer was whole. */
+  RELAY_CALLER_LEFT(7005, Level.INFO, "request %s left by its caller after %s ms"),
+  /** A caller sent what is not a proper request. */
+  RELAY_BAD_REQUEST(7006, Level.INFO, "bad request answered %s: %s"),
+  /** An upstream is known, or known to have changed. */
+  UPSTREAM_PUT(7101, Level.INFO, "upstream %s of %s at %s, draining %s, cold for %s ms"),
+  /** An upstream is gone. */
+  UPSTREAM_REMOVED(7102, Level.INFO, "upstream %s removed: %s"),
+  /** A zone was taken out. */
+  ZONE_EVACUATED(7103, Level.INFO, "zone %s taken out"),
+  /** A zone was taken back. */
+  ZONE_RESTORED(7104, Level.INFO, "zone %s taken back"),
+  /** The store can't be read. */
+  STORE_LOST(7105, Level.WARN, "store unavailable: %s"),
+  /** The store can be read again. */
+  STORE_REGAINED(7106, Level.INFO, "store read again at revision %s after %s ms");
 
   private final int number;
   private final Level level;
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogSetup.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogSetup.java
@@ -15,6 +15,8 @@
 
 /** Sets up the form and the level of the process's log; stateless. */
 public final class LogSetup {
+  /** Lines that may wait for the output: a few seconds of a busy VM. */
+  private static final int QUEUED_LINES = 4_096;
 
   private LogSetup() {}
 
@@ -37,6 +39,17 @@
     root.addHandler(handler);
   }
 
+  /** Writes JSON lines to standard output from a thread of their own, at level INFO. */
+  public static void queueJsonLines() {
+    Logger root = Logger.getLogger("");
+    for (Handler handler : root.getHandlers()) {
+      root.removeHandler(handler);
+    }
+    root.setLevel(Level.WARNING);
+    Logger.getLogger("org.ragworttide").setLevel(Level.INFO);
+    root.addHandler(QueueingHandler.toStandardOutput(new JsonForm(), QUEUED_LINES));
+  }
+
   private static Level level(DaemonSettings.LogLevel level) {
     return switch (level) {
       case ERROR -> Level.SEVERE;
--- /dev/null
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/QueueingHandler.java
@@ -0,0 +1,85 @@
+package org.ragworttide.daemon.log;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes log lines from a thread of its own, so that a blocked output delays no request.
+ *
+ * <p>Invariant: a line is dropped and counted when the queue is full; publishing never blocks. Safe
+ * for use by any thread.
+ */
+public final class QueueingHandler extends Handler {
+  private final BlockingQueue<LogRecord> queue;
+  private final OutputStream output;
+  private final AtomicLong dropped = new AtomicLong();
+
+  /**
+   * Creates a handler and starts its thread.
+   *
+   * @param output where lines go
+   * @param formatter makes the lines
+   * @param capacity lines that may wait
+   */
+  public QueueingHandler(OutputStream output, Formatter formatter, int capacity) {
+    this.output = output;
+    this.queue = new ArrayBlockingQueue<>(capacity);
+    setFormatter(formatter);
+    Thread writer = new Thread(this::write, "log");
+    writer.setDaemon(true);
+    writer.start();
+  }
+
+  /** Returns a handler that writes to standard output. */
+  static QueueingHandler toStandardOutput(Formatter formatter, int capacity) {
+    return new QueueingHandler(new FileOutputStream(FileDescriptor.out), formatter, capacity);
+  }
+
+  /** Returns how many lines were dropped. */
+  public long dropped() {
+    return dropped.get();
+  }
+
+  @Override
+  public void publish(LogRecord line) {
+    if (isLoggable(line) && !queue.offer(line)) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  @Override
+  public void flush() {}
+
+  @Override
+  public void close() {}
+
+  private void write() {
+    long reported = 0;
+    try {
+      while (true) {
+        output.write(getFormatter().format(queue.take()).getBytes(StandardCharsets.UTF_8));
+        long now = dropped.get();
+        if (now > reported) {
+          String text = "RWT1006 log lines dropped so far: " + now;
+          LogRecord line = new LogRecord(java.util.logging.Level.WARNING, text);
+          line.setLoggerName("org.ragworttide");
+          output.write(getFormatter().format(line).getBytes(StandardCharsets.UTF_8));
+          reported = now;
+        }
+      }
+    } catch (IOException e) {
+      dropped.incrementAndGet();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/relay/HeaderFilter.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/relay/HeaderFilter.java
@@ -64,7 +64,8 @@
     return endToEnd(received);
   }
 
-  private static HttpHeaders endToEnd(HttpHeaders received) {
+  /** Returns the headers that concern more than one connection. */
+  public static HttpHeaders endToEnd(HttpHeaders received) {
     Set<String> dropped = new HashSet<>(HOP_BY_HOP);
     for (String value : received.getAll("connection")) {
       for (String name : value.split(",")) {
--- /dev/null
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -0,0 +1,151 @@
+package org.ragworttide.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.socket.ServerSocketChannel;
+import io.netty.channel.socket.SocketChannel;
+import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
+import java.util.concurrent.ScheduledExecutorService;
+import org.ragworttide.coordination.time.TimerService;
+import org.ragworttide.daemon.log.EventLog;
+import org.ragworttide.daemon.log.LogEvent;
+import org.ragworttide.daemon.metrics.MetricsText;
+import org.ragworttide.gateway.caller.CallerConnections;
+import org.ragworttide.gateway.caller.CallerServer;
+import org.ragworttide.gateway.relay.Placement;
+import org.ragworttide.gateway.relay.RelayContext;
+import org.ragworttide.gateway.relay.RetryAllowances;
+import org.ragworttide.gateway.relay.Telemetry;
+import org.ragworttide.gateway.upstream.UpstreamConnector;
+import org.ragworttide.gateway.view.FleetView;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * A VM's gateway between callers and upstreams.
+ *
+ * <p>Invariant: all its state is used on its one event loop; {@link #stop} may be called by any
+ * thread.
+ */
+public final class Gateway {
+  /** Milliseconds between looks at idle connections: idle limits are many seconds. */
+  private static final long IDLE_CHECK_MILLIS = 500;
+
+  /** Milliseconds after a stop for which new connections may come: two missed health checks. */
+  private static final long STILL_ARRIVING_MILLIS = 3_000;
+
+  /** Milliseconds that a connection must be idle to be closed by a stop: a request in flight. */
+  private static final long STOP_IDLE_MILLIS = 300;
+
+  /** Milliseconds left for the process to end. */
+  private static final long EXIT_MILLIS = 500;
+
+  private static final long STOP_CHECK_MILLIS = 50;
+
+  private final GatewaySettings settings;
+  private final EventLoop loop;
+  private final LoopResources loops;
+  private final TimerService time;
+  private final FleetView view = new FleetView();
+  private final CallerConnections connections = new CallerConnections();
+  private final RelayContext context;
+
+  /** Creates a gateway that does not listen yet. */
+  public Gateway(GatewaySettings settings, Dialect dialect, LoopResources loops) {
+    this.settings = settings;
+    this.loops = loops;
+    this.loop = loops.onClient(true).next();
+    this.time = new LoopTimer(loop);
+    UpstreamConnector connector =
+        new UpstreamConnector(
+            loop, loops.onChannelClass(SocketChannel.class, loop), dialect, time::nowMillis);
+    this.context =
+        new RelayContext(
+            loop,
+            time,
+            view,
+            dialect,
+            connector,
+            new Placement(view, settings.zone()),
+            new RetryAllowances(settings.retryShare(), settings.retryReserve()),
+            new Telemetry(new MetricRegistry()),
+            new SplittableRandom());
+  }
+
+  /** Returns what the VM believes, for use on the event loop. */
+  public FleetView view() {
+    return view;
+  }
+
+  /** Returns the gateway's time. */
+  public TimerService time() {
+    return time;
+  }
+
+  /** Returns the event loop, on which the view is used. */
+  public ScheduledExecutorService executor() {
+    return loop;
+  }
+
+  /** Starts to listen. */
+  public void start() {
+    Class<? extends ServerChannel> type = loops.onChannelClass(ServerSocketChannel.class, loop);
+    CallerServer.bind(loop, type, settings.callers(), context, connections).syncUninterruptibly();
+    serveReadiness();
+    settings.metrics().ifPresent(this::serveMetrics);
+    time.every(
+        IDLE_CHECK_MILLIS,
+        () -> connections.closeIdle(time.nowMillis(), view.limits().idleTimeoutMillis()));
+  }
+
+  private void serveReadiness() {
+    HttpServer.create()
+        .runOn(loops)
+        .bindAddress(settings::readiness)
+        .handle((request, response) -> response.status(isReady() ? 200 : 503).send())
+        .bindNow();
+  }
+
+  private void serveMetrics(InetSocketAddress address) {
+    MetricRegistry metrics = context.telemetry().metrics();
+    HttpServer.create()
+        .runOn(loops)
+        .bindAddress(() -> address)
+        .handle((request, response) -> response.sendString(Mono.just(MetricsText.of(metrics))))
+        .bindNow();
+  }
+
+  private boolean isReady() {
+    return view.configuration().isPresent() && !connections.isDraining();
+  }
+
+  /**
+   * Stops: the platform is told first, running requests are answered, then connections are closed.
+   *
+   * @param stopped called once everything taken is answered or the time is up
+   */
+  public void stop(Runnable stopped) {
+    loop.execute(
+        () -> {
+          EventLog.log(LogEvent.DRAINING, "signal");
+          connections.drain();
+          long startedAt = time.nowMillis();
+          time.every(STOP_CHECK_MILLIS, () -> stopStep(startedAt, stopped));
+        });
+  }
+
+  private void stopStep(long startedAtMillis, Runnable stopped) {
+    long now = time.nowMillis();
+    long since = now - startedAtMillis;
+    if (since >= STILL_ARRIVING_MILLIS) {
+      connections.closeIdle(now, STOP_IDLE_MILLIS);
+    }
+    boolean answered = since >= STILL_ARRIVING_MILLIS + STOP_IDLE_MILLIS && connections.isQuiet();
+    if (answered || since >= settings.graceMillis() - EXIT_MILLIS) {
+      stopped.run();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/ragworttide/gateway/GatewaySettings.java
@@ -0,0 +1,38 @@
+package org.ragworttide.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.id.ZoneId;
+
+/**
+ * The settings of a gateway.
+ *
+ * <p>Invariant: durations are positive. Immutable, safe for use by any thread.
+ *
+ * @param vm this VM
+ * @param zone its availability zone
+ * @param callers where callers connect
+ * @param readiness where the platform asks whether the VM takes callers
+ * @param metrics where metrics are served, if they are
+ * @param retryShare retries that the fleet may send for one request
+ * @param retryReserve retries beyond the share that this VM may save up
+ * @param graceMillis how long a stop may take
+ */
+public record GatewaySettings(
+    VmId vm,
+    ZoneId zone,
+    InetSocketAddress callers,
+    InetSocketAddress readiness,
+    Optional<InetSocketAddress> metrics,
+    double retryShare,
+    int retryReserve,
+    long graceMillis) {
+
+  /** Checks the ranges. */
+  public GatewaySettings {
+    if (graceMillis <= 0 || retryReserve < 0 || !(retryShare >= 0 && retryShare <= 1)) {
+      throw new IllegalArgumentException("settings of the gateway are out of range");
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/ragworttide/gateway/caller/CallerHandler.java
@@ -0,0 +1,282 @@
+package org.ragworttide.gateway.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.ragworttide.daemon.log.EventLog;
+import org.ragworttide.daemon.log.LogEvent;
+import org.ragworttide.gateway.model.CallerLimits;
+import org.ragworttide.gateway.relay.CallerPort;
+import org.ragworttide.gateway.relay.CallerRequest;
+import org.ragworttide.gateway.relay.Exchange;
+import org.ragworttide.gateway.relay.RelayContext;
+
+/**
+ * A caller's connection: takes requests one after the other and writes their answers.
+ *
+ * <p>Invariant: a request's answer is written before the next request is begun. Confined to the
+ * event loop.
+ */
+final class CallerHandler extends ChannelInboundHandlerAdapter implements CallerPort {
+  /** Messages that may wait behind a running request before reading stops. */
+  private static final int MAX_WAITING = 32;
+
+  /** Milliseconds for which a closing connection still takes in what the caller sends. */
+  private static final long LINGER_MILLIS = 1_000;
+
+  private final RelayContext context;
+  private final CallerConnections connections;
+  private final Deque<Object> waiting = new ArrayDeque<>();
+  private SlowHeadGuard slowHead;
+  private Channel channel;
+  private HttpRequest head;
+  private CompositeByteBuf body;
+  private long headAtMillis;
+  private Exchange exchange;
+  private boolean keepAlive = true;
+  private boolean closing;
+  private long idleSinceMillis;
+
+  CallerHandler(RelayContext context, CallerConnections connections) {
+    this.context = context;
+    this.connections = connections;
+    this.idleSinceMillis = context.time().nowMillis();
+  }
+
+  SlowHeadGuard slowHeadGuard() {
+    slowHead =
+        new SlowHeadGuard(
+            () -> context.view().limits().headerTimeoutMillis(),
+            () -> reject(HttpResponseStatus.REQUEST_TIMEOUT, "head took too long"));
+    return slowHead;
+  }
+
+  /** Tells whether no request is being received or answered. */
+  boolean isIdle() {
+    return exchange == null && head == null;
+  }
+
+  /** Closes the connection if it has been idle for the time. */
+  void closeIfIdle(long nowMillis, long idleMillis) {
+    if (isIdle() && nowMillis - idleSinceMillis >= idleMillis) {
+      channel.close();
+    }
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    channel = ctx.channel();
+    connections.add(this);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    connections.remove(this);
+    if (exchange != null) {
+      exchange.callerLeft();
+      exchange = null;
+    }
+    dropRequest();
+    while (!waiting.isEmpty()) {
+      ReferenceCountUtil.release(waiting.pop());
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    ctx.close();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (channel.isWritable() && exchange != null) {
+      exchange.callerHasRoom();
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (closing) {
+      ReferenceCountUtil.release(message);
+    } else if (exchange != null) {
+      waiting.add(message);
+      if (waiting.size() >= MAX_WAITING) {
+        channel.config().setAutoRead(false);
+      }
+    } else {
+      take(message);
+    }
+  }
+
+  private void take(Object message) {
+    try {
+      if (message instanceof HttpRequest request) {
+        begin(request);
+      }
+      if (!closing && head != null && message instanceof HttpContent content) {
+        add(content);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void begin(HttpRequest request) {
+    slowHead.headComplete();
+    CallerLimits limits = context.view().limits();
+    Optional<HttpResponseStatus> fault = RequestFraming.fault(request, limits.bodyBytes());
+    if (fault.isPresent()) {
+      reject(fault.get(), "framing");
+      return;
+    }
+    head = request;
+    headAtMillis = context.time().nowMillis();
+    keepAlive = HttpUtil.isKeepAlive(request);
+    body = channel.alloc().compositeBuffer(Integer.MAX_VALUE);
+    if (HttpUtil.is100ContinueExpected(request)) {
+      channel.writeAndFlush(
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    }
+  }
+
+  private void add(HttpContent content) {
+    if (content.decoderResult().isFailure()) {
+      reject(HttpResponseStatus.BAD_REQUEST, "body framing");
+      return;
+    }
+    if (body.readableBytes() + content.content().readableBytes()
+        > context.view().limits().bodyBytes()) {
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too long");
+      return;
+    }
+    if (content.content().isReadable()) {
+      body.addComponent(true, content.content().retain());
+    }
+    if (content instanceof LastHttpContent) {
+      start();
+    }
+  }
+
+  private void start() {
+    CallerRequest request =
+        new CallerRequest(head, context.dialect().readRequest(head), body, headAtMillis);
+    head = null;
+    body = null;
+    slowHead.requestComplete();
+    exchange = new Exchange(context, request, this);
+    exchange.start();
+  }
+
+  private void reject(HttpResponseStatus status, String reason) {
+    if (closing || exchange != null) {
+      return;
+    }
+    EventLog.log(LogEvent.RELAY_BAD_REQUEST, status, reason);
+    dropRequest();
+    keepAlive = false;
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    respond(response);
+  }
+
+  private void dropRequest() {
+    head = null;
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+  }
+
+  @Override
+  public void respond(FullHttpResponse response) {
+    markConnection(response);
+    finish(channel.writeAndFlush(response));
+  }
+
+  @Override
+  public void begin(HttpResponse response) {
+    markConnection(response);
+    channel.write(response);
+  }
+
+  @Override
+  public void send(ByteBuf piece) {
+    channel.writeAndFlush(new DefaultHttpContent(piece));
+  }
+
+  @Override
+  public void end() {
+    finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+  }
+
+  @Override
+  public void abort() {
+    exchange = null;
+    closing = true;
+    channel.close();
+  }
+
+  @Override
+  public boolean hasRoom() {
+    return channel.isWritable();
+  }
+
+  private void markConnection(HttpResponse response) {
+    keepAlive = keepAlive && !connections.isDraining();
+    if (!keepAlive) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  private void finish(ChannelFuture written) {
+    exchange = null;
+    idleSinceMillis = context.time().nowMillis();
+    if (keepAlive) {
+      channel.eventLoop().execute(this::takeWaiting);
+    } else {
+      closing = true;
+      written.addListener(done -> lingerThenClose());
+    }
+  }
+
+  private void takeWaiting() {
+    while (exchange == null && !closing && !waiting.isEmpty()) {
+      take(waiting.pop());
+    }
+    if (waiting.isEmpty()) {
+      channel.config().setAutoRead(true);
+    }
+  }
+
+  /** Closing with unread bytes resets the connection, which can take the answer with it. */
+  private void lingerThenClose() {
+    if (channel instanceof io.netty.channel.socket.SocketChannel socket && socket.isActive()) {
+      socket.config().setAutoRead(true);
+      socket.shutdownOutput();
+      channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -0,0 +1,452 @@
+package org.ragworttide.gateway.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.ragworttide.coordination.hash.Rendezvous;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.time.TimerService;
+import org.ragworttide.gateway.model.Organisation;
+import org.ragworttide.gateway.model.Route;
+import org.ragworttide.gateway.model.ServiceName;
+import org.ragworttide.gateway.upstream.AttemptListener;
+import org.ragworttide.gateway.upstream.Upstream;
+import org.ragworttide.gateway.upstream.UpstreamConnection;
+
+/**
+ * The way of one caller's request: checks, placement, attempts, answer.
+ *
+ * <p>Invariants: exactly one final answer or abort; a request that may have run is sent again only
+ * if it is repeatable; a status that promises that it has not run is only given where that is so.
+ * Confined to the event loop.
+ */
+public final class Exchange {
+  /** Connections that are tried before the request is refused. */
+  private static final int MAX_UNREACHABLE = 3;
+
+  /** Milliseconds after which a refused caller is asked to return: about one failure detection. */
+  private static final long RETURN_MILLIS = 250;
+
+  /** Multiple of the latency objective after which a silent upstream is given up for another. */
+  private static final double SILENCE_FACTOR = 1.5;
+
+  /** Milliseconds that a second attempt needs at least. */
+  private static final long LEAST_ATTEMPT_MILLIS = 100;
+
+  private final RelayContext context;
+  private final CallerRequest request;
+  private final CallerPort caller;
+  private final Answer answer;
+  private final Set<UpstreamId> tried = new HashSet<>();
+  private Route route;
+  private ServiceName service;
+  private Optional<Organisation> organisation = Optional.empty();
+  private long endsAtMillis = Long.MAX_VALUE;
+  private int attempts;
+  private int unreachable;
+  private Attempt attempt;
+  private TimerService.Subscription deadline = () -> {};
+  private int possibleRuns;
+  private boolean done;
+
+  /** Creates the exchange of a whole request. */
+  public Exchange(RelayContext context, CallerRequest request, CallerPort caller) {
+    this.context = context;
+    this.request = request;
+    this.caller = caller;
+    this.answer = new Answer(caller, request.http().method());
+  }
+
+  /** Starts the exchange. */
+  public void start() {
+    if (context.view().configuration().isEmpty()) {
+      refuse(Refusal.NOT_CONFIGURED, "no configuration read");
+      return;
+    }
+    HttpHeaders headers = request.http().headers();
+    Optional<Route> found =
+        context.view().route(headers.get(HttpHeaderNames.HOST, ""), request.http().uri());
+    if (found.isEmpty()) {
+      refuse(Refusal.NO_ROUTE, "no route for host and path");
+      return;
+    }
+    route = found.get();
+    if (!admitKey()) {
+      refuse(Refusal.UNKNOWN_KEY, "route " + route.name());
+      return;
+    }
+    service = route.service(Rendezvous.hash(request.head().id()));
+    context.retries().requested(service);
+    startDeadline();
+    place();
+  }
+
+  /** Gives the request up, since its caller has left. */
+  public void callerLeft() {
+    if (done) {
+      return;
+    }
+    context.telemetry().callerLeft(request.head().id(), elapsedMillis());
+    if (attempt != null) {
+      attempt.stop(route.kind().isRepeatable() || route.kind().isStream());
+    }
+    finish();
+  }
+
+  /** Reads on from the upstream, since the caller has room again. */
+  public void callerHasRoom() {
+    if (attempt != null && attempt.connection != null) {
+      attempt.connection.reading(true);
+    }
+  }
+
+  private boolean admitKey() {
+    if (route.open() || context.view().configuration().orElseThrow().organisations().isEmpty()) {
+      return true;
+    }
+    organisation = context.view().holder(request.head().key());
+    return organisation.isPresent();
+  }
+
+  private void startDeadline() {
+    long allowed = request.head().deadlineMillis().orElse(Long.MAX_VALUE);
+    if (route.timeoutMillis() > 0) {
+      allowed = Math.min(allowed, route.timeoutMillis());
+    }
+    if (allowed < Long.MAX_VALUE) {
+      endsAtMillis = request.receivedAtMillis() + allowed;
+      deadline = context.time().after(Math.max(0, leftMillis()), this::expire);
+    }
+  }
+
+  private void place() {
+    long now = context.time().nowMillis();
+    Optional<Upstream> chosen =
+        context.placement().choose(service, request.head().prompt(), tried, now);
+    if (chosen.isEmpty()) {
+      giveUp("no upstream of service " + service + " can take it");
+      return;
+    }
+    attempt = new Attempt(chosen.get());
+    attempt.begin();
+  }
+
+  private void giveUp(String cause) {
+    if (answer.isBegun()) {
+      abort(cause);
+    } else if (possibleRuns > 0) {
+      refuse(Refusal.UPSTREAM_FAILED, cause);
+    } else {
+      refuse(tried.isEmpty() ? Refusal.NO_UPSTREAM : Refusal.UPSTREAMS_FULL, cause);
+    }
+  }
+
+  private boolean canTryAgain() {
+    return attempts < route.maxAttempts()
+        && leftMillis() >= LEAST_ATTEMPT_MILLIS
+        && (possibleRuns == 0 || route.kind().isRepeatable())
+        && (!answer.isBegun() || answer.lastEventId().isPresent())
+        && context.retries().tryRetry(service);
+  }
+
+  private void expire() {
+    if (done) {
+      return;
+    }
+    if (attempt != null) {
+      attempt.stop(route.kind().isRepeatable() || route.kind().isStream());
+    }
+    if (answer.isBegun()) {
+      abort("time is up");
+    } else {
+      refuse(possibleRuns > 0 ? Refusal.EXPIRED : Refusal.EXPIRED_UNSENT, "time is up");
+    }
+  }
+
+  private void refuse(Refusal refusal, String cause) {
+    context.telemetry().refused(request.head().id(), refusal, cause, elapsedMillis());
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, refusal.status(), Unpooled.EMPTY_BUFFER);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+    if (refusal.isReturnable()) {
+      long millis = RETURN_MILLIS / 2 + context.random().nextLong(RETURN_MILLIS);
+      response
+          .headers()
+          .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", millis / 1_000.0));
+    }
+    caller.respond(response);
+    finish();
+  }
+
+  private void abort(String cause) {
+    context.telemetry().aborted(request.head().id(), cause, elapsedMillis());
+    caller.abort();
+    finish();
+  }
+
+  private void finish() {
+    done = true;
+    deadline.cancel();
+    request.body().release();
+    answer.release();
+  }
+
+  private long leftMillis() {
+    return endsAtMillis - context.time().nowMillis();
+  }
+
+  private long elapsedMillis() {
+    return context.time().nowMillis() - request.receivedAtMillis();
+  }
+
+  /** One sending of the request to one upstream. */
+  private final class Attempt implements AttemptListener {
+    private final Upstream upstream;
+    private final UpstreamId id;
+    private UpstreamConnection connection;
+    private TimerService.Subscription silence = () -> {};
+    private AnswerHead head;
+    private long sentAtMillis;
+    private boolean ended;
+
+    private Attempt(Upstream upstream) {
+      this.upstream = upstream;
+      this.id = upstream.entry().id();
+    }
+
+    private void begin() {
+      tried.add(id);
+      upstream.load().started();
+      context.connector().connect(upstream, this::opened, this::unreachable);
+    }
+
+    private void opened(UpstreamConnection opened) {
+      connection = opened;
+      if (ended) {
+        connection.cancel();
+        return;
+      }
+      attempts++;
+      possibleRuns++;
+      sentAtMillis = context.time().nowMillis();
+      upstream.load().cold().sent(sentAtMillis);
+      connection.send(forwarded(), request.head().id(), this);
+      if (route.kind().isRepeatable() && route.targetLatencyMillis() > 0) {
+        long patience = (long) (route.targetLatencyMillis() * SILENCE_FACTOR);
+        silence = context.time().after(patience, this::silent);
+      }
+    }
+
+    private FullHttpRequest forwarded() {
+      OptionalLong left =
+          endsAtMillis == Long.MAX_VALUE
+              ? OptionalLong.empty()
+              : OptionalLong.of(Math.max(1, leftMillis()));
+      OptionalInt priority =
+          organisation
+              .map(Organisation::priority)
+              .filter(OptionalInt::isPresent)
+              .orElse(OptionalInt.of(route.priority()));
+      ForwardedHead facts =
+          new ForwardedHead(
+              id, left, organisation.map(Organisation::name), priority, answer.lastEventId());
+      HttpHeaders headers = context.dialect().toUpstream(request.http().headers(), facts);
+      ByteBuf body = request.body().retainedDuplicate();
+      if (body.isReadable() || request.http().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+      }
+      return new DefaultFullHttpRequest(
+          HttpVersion.HTTP_1_1,
+          request.http().method(),
+          request.http().uri(),
+          body,
+          headers,
+          HttpHeaders.EMPTY_HEADERS.copy());
+    }
+
+    private void silent() {
+      if (!ended && !done && head == null && canTryAgain()) {
+        stop(true);
+        outcome(false, "no answer after the latency objective");
+        place();
+      }
+    }
+
+    private void stop(boolean cancel) {
+      if (ended) {
+        return;
+      }
+      end();
+      if (connection != null && cancel) {
+        connection.cancel();
+      } else if (connection != null) {
+        connection.detach();
+      }
+    }
+
+    private void end() {
+      ended = true;
+      silence.cancel();
+      upstream.load().ended();
+    }
+
+    private void outcome(boolean good, String reason) {
+      if (good) {
+        context.placement().outliers(service).answered(id);
+      } else {
+        long now = context.time().nowMillis();
+        context.placement().outliers(service).failed(id, now);
+        context.telemetry().attemptFailed(request.head().id(), id, reason, elapsedMillis());
+      }
+    }
+
+    @Override
+    public void unreachable(String reason) {
+      if (ended) {
+        return;
+      }
+      end();
+      long now = context.time().nowMillis();
+      context.placement().outliers(service).unreachable(id, now);
+      context.telemetry().attemptFailed(request.head().id(), id, reason, elapsedMillis());
+      unreachable++;
+      if (unreachable < MAX_UNREACHABLE && leftMillis() >= LEAST_ATTEMPT_MILLIS) {
+        place();
+      } else {
+        giveUp("upstreams unreachable");
+      }
+    }
+
+    @Override
+    public void answered(HttpResponse response, AnswerHead answered) {
+      head = answered;
+      answered
+          .load()
+          .ifPresent(
+              it ->
+                  upstream.load().reported(it.running(), it.waiting(), context.time().nowMillis()));
+      answer.head(response, route.kind().isStream());
+    }
+
+    @Override
+    public void received(ByteBuf content) {
+      if (ended || !isPassable()) {
+        content.release();
+        return;
+      }
+      answer.add(content);
+      if (!caller.hasRoom()) {
+        connection.reading(false);
+      }
+    }
+
+    private boolean isPassable() {
+      return !head.notRun() && !isUnsealedSuccess();
+    }
+
+    private boolean isUnsealedSuccess() {
+      boolean success = answer.head().status().codeClass() == HttpStatusClass.SUCCESS;
+      return success && (!head.sealed() || head.encoded());
+    }
+
+    @Override
+    public void ended() {
+      if (ended) {
+        return;
+      }
+      end();
+      HttpResponseStatus status = answer.head().status();
+      if (head.notRun() || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+        notRun(status);
+      } else if (isUnsealedSuccess()) {
+        failed("success without receipt");
+      } else if (status.codeClass() == HttpStatusClass.SERVER_ERROR || isPromise(status)) {
+        serverError(status);
+      } else {
+        deliver();
+      }
+    }
+
+    private void deliver() {
+      if (!answer.end()) {
+        failed("stream ends within an event");
+        return;
+      }
+      outcome(true, "");
+      long now = context.time().nowMillis();
+      upstream.load().answeredAfter(now - sentAtMillis);
+      context
+          .telemetry()
+          .answered(request.head().id(), answer.head().status().code(), id, elapsedMillis());
+      finish();
+    }
+
+    private void notRun(HttpResponseStatus status) {
+      possibleRuns--;
+      attempts--;
+      answer.reset();
+      context
+          .telemetry()
+          .attemptFailed(request.head().id(), id, "not run, " + status, elapsedMillis());
+      boolean again = leftMillis() >= LEAST_ATTEMPT_MILLIS && context.retries().tryRetry(service);
+      if (again) {
+        place();
+      } else {
+        giveUp("upstream answered " + status);
+      }
+    }
+
+    private boolean isPromise(HttpResponseStatus status) {
+      return status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
+          || status.equals(HttpResponseStatus.REQUEST_TIMEOUT);
+    }
+
+    private void serverError(HttpResponseStatus status) {
+      boolean promise = isPromise(status) || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+      outcome(false, "answered " + status);
+      if (canTryAgain()) {
+        answer.reset();
+        place();
+      } else if (promise && !route.kind().isRepeatable()) {
+        refuse(Refusal.UPSTREAM_FAILED, "upstream answered " + status + " without saying not run");
+      } else {
+        context.telemetry().answered(request.head().id(), status.code(), id, elapsedMillis());
+        answer.end();
+        finish();
+      }
+    }
+
+    @Override
+    public void broken(String reason) {
+      if (!ended) {
+        end();
+        failed(reason);
+      }
+    }
+
+    private void failed(String reason) {
+      outcome(false, reason);
+      answer.reset();
+      if (canTryAgain()) {
+        place();
+      } else {
+        giveUp(reason);
+      }
+    }
+  }
+}
