Keep requests together by the part of their session; refuse requests late in a stop

Cause: the last part of a prompt is the request's own, so placement by it spread each session over its group.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -13,7 +13,7 @@
  * <p>Answers two patterns: many sessions over a few long first parts, where placement by session
  * alone reads each first part on every engine; and a hot session, which must not fill its engine.
  * The first part names a small group of engines by rendezvous hashing, as large as its share of
- * requests; the last part names the engine in the group. An engine above the load bound is passed
+ * requests; the part of the session names the engine in the group. An engine above the load bound is passed
  * over for the next in the same order, so that all VMs spill to the same engines.
  *
  * <p>Invariant: the chosen engine is a candidate and, if any candidate is within the bound, is
@@ -54,10 +54,10 @@
       return leastLoaded(open, nowMillis);
     }
     long first = prompt.parts().getFirst().idHash();
-    long last = prompt.parts().getLast().idHash();
+    long session = prompt.affinityPart().idHash();
     List<UpstreamLoad> order = byWeight(open, first);
     int group = Math.min(order.size(), groupSize(first, open.size()));
-    return within(byWeight(order.subList(0, group), last), bound, nowMillis)
+    return within(byWeight(order.subList(0, group), session), bound, nowMillis)
         .or(() -> within(order.subList(group, order.size()), bound, nowMillis))
         .or(() -> leastLoaded(open, nowMillis));
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/Prompt.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/Prompt.java
@@ -5,7 +5,7 @@
 /**
  * A request's prompt as placement sees it.
  *
- * <p>Invariant: parts stand in the prompt's order, the one that only its session shares last.
+ * <p>Invariant: parts stand in the prompt's order, the one of its session or of the request alone last.
  * Immutable, safe for use by any thread.
  *
  * @param parts the shared parts, possibly none
@@ -13,6 +13,8 @@
  * @param maxOutputTokens the longest answer in tokens
  */
 public record Prompt(List<PromptPart> parts, int inputTokens, int maxOutputTokens) {
+  /** Parts of a prompt from which on the last may be taken for the request's own. */
+  private static final int PARTS_WITH_OWN = 3;
 
   /** Checks the ranges. */
   public Prompt {
@@ -21,4 +23,12 @@
       throw new IllegalArgumentException("token counts must not be negative");
     }
   }
+
+  /**
+   * Returns the part by which requests are kept together: the one before the last, since the last
+   * may be the request's own; with fewer than three parts the last.
+   */
+  PromptPart affinityPart() {
+    return parts.size() < PARTS_WITH_OWN ? parts.getLast() : parts.get(parts.size() - 2);
+  }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -35,7 +35,10 @@
   private static final long IDLE_CHECK_MILLIS = 500;
 
   /** Milliseconds after a stop for which new connections may come: two missed health checks. */
-  private static final long STILL_ARRIVING_MILLIS = 3_000;
+  private static final long STILL_ARRIVING_MILLIS = 2_000;
+
+  /** Milliseconds after a stop from which requests are refused: those before may use the grace. */
+  private static final long REFUSING_MILLIS = 2_700;
 
   /** Milliseconds that a connection must be idle to be closed by a stop: a request in flight. */
   private static final long STOP_IDLE_MILLIS = 300;
@@ -143,7 +146,10 @@
     if (since >= STILL_ARRIVING_MILLIS) {
       connections.closeIdle(now, STOP_IDLE_MILLIS);
     }
-    boolean answered = since >= STILL_ARRIVING_MILLIS + STOP_IDLE_MILLIS && connections.isQuiet();
+    if (since >= REFUSING_MILLIS) {
+      connections.refuse();
+    }
+    boolean answered = since >= REFUSING_MILLIS && connections.isQuiet();
     if (answered || since >= settings.graceMillis() - EXIT_MILLIS) {
       stopped.run();
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/caller/CallerConnections.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/caller/CallerConnections.java
@@ -8,12 +8,23 @@
 public final class CallerConnections {
   private final Set<CallerHandler> open = new LinkedHashSet<>();
   private boolean draining;
+  private boolean refusing;
 
   /** Marks the answers that follow as the last of their connections. */
   public void drain() {
     draining = true;
   }
 
+  /** Refuses the requests that follow: too little time is left to answer them. */
+  public void refuse() {
+    refusing = true;
+  }
+
+  /** Tells whether requests are refused because the gateway is stopping. */
+  boolean isRefusing() {
+    return refusing;
+  }
+
   /** Tells whether the gateway is stopping. */
   public boolean isDraining() {
     return draining;
--- a/gateway/src/main/java/org/ragworttide/gateway/caller/CallerHandler.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/caller/CallerHandler.java
@@ -186,7 +186,11 @@
     body = null;
     slowHead.requestComplete();
     exchange = new Exchange(context, request, this);
-    exchange.start();
+    if (connections.isRefusing()) {
+      exchange.refuseStopping();
+    } else {
+      exchange.start();
+    }
   }
 
   private void reject(HttpResponseStatus status, String reason) {
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -96,6 +96,11 @@
     place();
   }
 
+  /** Refuses the request, since the VM stops. */
+  public void refuseStopping() {
+    refuse(Refusal.STOPPING, "stop in progress");
+  }
+
   /** Gives the request up, since its caller has left. */
   public void callerLeft() {
     if (done) {
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Refusal.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Refusal.java
@@ -11,6 +11,8 @@
 public enum Refusal {
   /** The VM has read no configuration yet. */
   NOT_CONFIGURED(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  /** The VM stops and has no time left for the request. */
+  STOPPING(HttpResponseStatus.SERVICE_UNAVAILABLE),
   /** No route matches. */
   NO_ROUTE(HttpResponseStatus.NOT_FOUND),
   /** The key is unknown. */
