Keep sessions where their prompts are: fixed groups, wider load bound, joining engines take overflow only

Cause: groups sized by a VM's own noisy share differed between VMs; a bound of 1.5 x mean + 2 spilled in calm; each replaced or added engine took a share of all sessions at once.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -13,8 +13,8 @@
  * <p>Answers two patterns: many sessions over a few long first parts, where placement by session
  * alone reads each first part on every engine; and a hot session, which must not fill its engine.
  * The first part names a small group of engines by rendezvous hashing, as large as its share of
- * requests; the part of the session names the engine in the group. An engine above the load bound is passed
- * over for the next in the same order, so that all VMs spill to the same engines.
+ * requests; the part of the session names the engine in the group. An engine above the load bound
+ * is passed over for the next in the same order, so that all VMs spill to the same engines.
  *
  * <p>Invariant: the chosen engine is a candidate and, if any candidate is within the bound, is
  * within it itself. Confined to one thread.
@@ -23,11 +23,14 @@
   /** Engines for a first part, per engine that its share of requests would fill. */
   private static final double GROUP_HEADROOM = 2;
 
+  /** Engines for a first part at least: room for its sessions without reading it everywhere. */
+  private static final int SMALLEST_GROUP = 3;
+
   /** Multiple of the mean load that an engine may have; rules forbid twice the mean and three. */
-  private static final double LOAD_BOUND = 1.5;
+  private static final double LOAD_BOUND = 1.8;
 
   /** Requests above the multiple of the mean, for small means. */
-  private static final int LOAD_SLACK = 2;
+  private static final int LOAD_SLACK = 3;
 
   /** First parts counted before all counts are halved. */
   private static final int DEMAND_WINDOW = 512;
@@ -41,10 +44,11 @@
    * @param prompt the request's prompt
    * @param candidates engines that may take the request
    * @param nowMillis the time
+   * @param wallMillis Unix time in milliseconds, right to some seconds
    * @return the engine, empty if there is no candidate that admits the request
    */
   public Optional<UpstreamLoad> choose(
-      Prompt prompt, List<UpstreamLoad> candidates, long nowMillis) {
+      Prompt prompt, List<UpstreamLoad> candidates, long nowMillis, long wallMillis) {
     List<UpstreamLoad> open = Warmth.preferWarm(candidates, nowMillis);
     if (open.isEmpty()) {
       return Optional.empty();
@@ -55,10 +59,11 @@
     }
     long first = prompt.parts().getFirst().idHash();
     long session = prompt.affinityPart().idHash();
-    List<UpstreamLoad> order = byWeight(open, first);
+    List<UpstreamLoad> order = byWeight(Seniority.established(open, wallMillis), first);
     int group = Math.min(order.size(), groupSize(first, open.size()));
     return within(byWeight(order.subList(0, group), session), bound, nowMillis)
         .or(() -> within(order.subList(group, order.size()), bound, nowMillis))
+        .or(() -> within(byWeight(open, session), bound, nowMillis))
         .or(() -> leastLoaded(open, nowMillis));
   }
 
@@ -69,7 +74,11 @@
     if (counted >= DEMAND_WINDOW) {
       halveDemand();
     }
-    return Math.max(1, (int) Math.ceil(share * engines * GROUP_HEADROOM));
+    int group = SMALLEST_GROUP;
+    while (group < share * engines * GROUP_HEADROOM) {
+      group *= 2;
+    }
+    return group;
   }
 
   private void halveDemand() {
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/Prompt.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/Prompt.java
@@ -5,8 +5,8 @@
 /**
  * A request's prompt as placement sees it.
  *
- * <p>Invariant: parts stand in the prompt's order, the one of its session or of the request alone last.
- * Immutable, safe for use by any thread.
+ * <p>Invariant: parts stand in the prompt's order, the one of its session or of the request alone
+ * last. Immutable, safe for use by any thread.
  *
  * @param parts the shared parts, possibly none
  * @param inputTokens the length of the whole prompt in tokens
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
@@ -20,6 +20,7 @@
   private final UpstreamId id;
   private final ZoneId zone;
   private final long idHash;
+  private final long bornMillis;
   private final ColdAllowance cold;
   private int slots;
   private int inFlight;
@@ -34,11 +35,13 @@
    * @param id the upstream
    * @param zone its availability zone
    * @param slots how many requests it works on at a time, positive
+   * @param bornMillis Unix time of its start in milliseconds, 0 if unknown
    */
-  public UpstreamLoad(UpstreamId id, ZoneId zone, int slots) {
+  public UpstreamLoad(UpstreamId id, ZoneId zone, int slots, long bornMillis) {
     this.id = id;
     this.zone = zone;
     this.idHash = Rendezvous.hash(id.value());
+    this.bornMillis = bornMillis;
     this.cold = new ColdAllowance();
     slots(slots);
   }
@@ -58,6 +61,11 @@
     return cold;
   }
 
+  /** Returns the Unix time of its start in milliseconds, 0 if unknown. */
+  public long bornMillis() {
+    return bornMillis;
+  }
+
   /** Returns how many requests it works on at a time. */
   public int slots() {
     return slots;
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
@@ -46,7 +46,7 @@
     List<UpstreamLoad> loads = candidates.stream().map(Upstream::load).toList();
     Optional<UpstreamLoad> chosen =
         prompt.isPresent()
-            ? engines(service).choose(prompt.get(), loads, nowMillis)
+            ? engines(service).choose(prompt.get(), loads, nowMillis, System.currentTimeMillis())
             : services.choose(loads, nowMillis);
     return chosen.flatMap(load -> candidates.stream().filter(it -> it.load() == load).findFirst());
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
@@ -20,7 +20,7 @@
   /** Creates an upstream without connections. */
   public Upstream(UpstreamEntry entry, long nowMillis) {
     this.entry = entry;
-    this.load = new UpstreamLoad(entry.id(), entry.zone(), entry.slots());
+    this.load = new UpstreamLoad(entry.id(), entry.zone(), entry.slots(), entry.bornMillis());
     load.cold().coldUntil(nowMillis + entry.coldLeftMillis());
   }
 
