--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -12,9 +12,10 @@
  *
  * <p>Answers two patterns: many sessions over a few long first parts, where placement by session
  * alone reads each first part on every engine; and a hot session, which must not fill its engine.
- * The first part names a small group of engines by rendezvous hashing, as large as its share of
- * requests; the part of the session names the engine in the group. An engine above the load bound
- * is passed over for the next in the same order, so that all VMs spill to the same engines.
+ * The first part names a group of engines by rendezvous hashing: the longer it is the fewer, but as
+ * many as its share of requests needs; the part of the session names the engine in the group. An
+ * engine above the load bound is passed over for the next in the same order, so that all VMs spill
+ * to the same engines.
  *
  * <p>Invariant: the chosen engine is a candidate and, if any candidate is within the bound, is
  * within it itself. Confined to one thread.
@@ -26,12 +27,18 @@
   /** Engines for a first part at least: room for its sessions without reading it everywhere. */
   private static final int SMALLEST_GROUP = 3;
 
+  /** Tokens of a first part that may be read on every engine: tens of milliseconds of work. */
+  private static final double CHEAP_TOKENS = 1_000;
+
   /** Multiple of the mean load that an engine may have; rules forbid twice the mean and three. */
   private static final double LOAD_BOUND = 1.8;
 
   /** Requests above the multiple of the mean, for small means. */
   private static final int LOAD_SLACK = 3;
 
+  /** Requests of other first parts assumed at the start, when a few are no sample. */
+  private static final int UNSEEN_REQUESTS = 64;
+
   /** First parts counted before all counts are halved. */
   private static final int DEMAND_WINDOW = 512;
 
@@ -49,7 +56,7 @@
    */
   public Optional<UpstreamLoad> choose(
       Prompt prompt, List<UpstreamLoad> candidates, long nowMillis, long wallMillis) {
-    List<UpstreamLoad> open = Warmth.preferWarm(candidates, nowMillis);
+    List<UpstreamLoad> open = Warmth.admitting(candidates, nowMillis);
     if (open.isEmpty()) {
       return Optional.empty();
     }
@@ -57,9 +64,9 @@
     if (prompt.parts().isEmpty()) {
       return leastLoaded(open, nowMillis);
     }
-    long first = prompt.parts().getFirst().idHash();
+    PromptPart first = prompt.parts().getFirst();
     long session = prompt.affinityPart().idHash();
-    List<UpstreamLoad> order = byWeight(Seniority.established(open, wallMillis), first);
+    List<UpstreamLoad> order = byWeight(Seniority.established(open, wallMillis), first.idHash());
     int group = Math.min(order.size(), groupSize(first, open.size()));
     return within(byWeight(order.subList(0, group), session), bound, nowMillis)
         .or(() -> within(order.subList(group, order.size()), bound, nowMillis))
@@ -67,14 +74,15 @@
         .or(() -> leastLoaded(open, nowMillis));
   }
 
-  private int groupSize(long first, int engines) {
-    int count = demand.merge(first, 1, Integer::sum);
+  private int groupSize(PromptPart first, int engines) {
+    int count = demand.merge(first.idHash(), 1, Integer::sum);
     counted++;
-    double share = (double) count / counted;
+    double share = (double) count / (counted + UNSEEN_REQUESTS);
     if (counted >= DEMAND_WINDOW) {
       halveDemand();
     }
-    int group = SMALLEST_GROUP;
+    double affordable = Math.min(1, CHEAP_TOKENS / Math.max(1, first.tokens()));
+    int group = Math.max(SMALLEST_GROUP, (int) Math.ceil(affordable * engines));
     while (group < share * engines * GROUP_HEADROOM) {
       group *= 2;
     }
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/Prompt.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/Prompt.java
@@ -13,6 +13,8 @@
  * @param maxOutputTokens the longest answer in tokens
  */
 public record Prompt(List<PromptPart> parts, int inputTokens, int maxOutputTokens) {
+  private static final long LABEL_MASK = 0xffffffL;
+
   /** Parts of a prompt from which on the last may be taken for the request's own. */
   private static final int PARTS_WITH_OWN = 3;
 
@@ -24,6 +26,11 @@
     }
   }
 
+  /** Returns a short label of the session for logs, the same for the same session. */
+  public String sessionLabel() {
+    return parts.isEmpty() ? "none" : Long.toHexString(affinityPart().idHash() & LABEL_MASK);
+  }
+
   /**
    * Returns the part by which requests are kept together: the one before the last, since the last
    * may be the request's own; with fewer than three parts the last.
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
@@ -11,8 +11,11 @@
  * <p>Invariant: own requests never count below zero. Confined to one thread.
  */
 public final class UpstreamLoad {
-  /** Milliseconds for which a report counts: about as long as a streamed answer takes. */
-  private static final long REPORT_LIFETIME_MILLIS = 1_000;
+  /**
+   * Milliseconds for which a report counts. A few answers of an engine reach a VM in that time; own
+   * requests alone would make the engines that were not heard of look idle.
+   */
+  private static final long REPORT_LIFETIME_MILLIS = 4_000;
 
   /** Weight of the newest duration in the mean: the usual smoothing of TCP's round-trip time. */
   private static final double DURATION_WEIGHT = 0.125;
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/Warmth.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/Warmth.java
@@ -14,6 +14,11 @@
     if (!warm.isEmpty()) {
       return warm;
     }
+    return admitting(candidates, nowMillis);
+  }
+
+  /** Returns the candidates that are warm or, being cold, still admit a request. */
+  static List<UpstreamLoad> admitting(List<UpstreamLoad> candidates, long nowMillis) {
     return candidates.stream().filter(it -> it.cold().admits(nowMillis)).toList();
   }
 }
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
@@ -0,0 +1,126 @@
+package org.ragworttide.coordination.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.testng.annotations.Test;
+
+/** Replays load patterns before engine placement. */
+public class EnginePlacementTest {
+  private static final long NOW = 1_000;
+
+  private static UpstreamLoad choose(
+      EnginePlacement placement, Prompt prompt, List<UpstreamLoad> engines) {
+    return placement.choose(prompt, engines, NOW, PlacementFixture.WALL_MILLIS).orElseThrow();
+  }
+
+  @Test
+  public void sessionKeepsItsEngineWhateverItsRequestsOwnPart() {
+    EnginePlacement placement = new EnginePlacement();
+    List<UpstreamLoad> engines = PlacementFixture.engines(13);
+    Set<UpstreamId> chosen = new HashSet<>();
+    for (int request = 0; request < 50; request++) {
+      chosen.add(choose(placement, PlacementFixture.prompt(1, 7, request), engines).id());
+    }
+    assertEquals(chosen.size(), 1);
+  }
+
+  @Test
+  public void vmsThatSeeDifferentShareOfTrafficChooseTheSameEngine() {
+    List<UpstreamLoad> engines = PlacementFixture.engines(13);
+    EnginePlacement busy = new EnginePlacement();
+    SplittableRandom random = new SplittableRandom(20261204);
+    for (int i = 0; i < 400; i++) {
+      choose(busy, PlacementFixture.prompt(random.nextInt(60), random.nextInt(300), i), engines);
+    }
+    EnginePlacement fresh = new EnginePlacement();
+    for (int session = 0; session < 100; session++) {
+      Prompt prompt = PlacementFixture.prompt(session % 4, session, session);
+      assertEquals(choose(fresh, prompt, engines).id(), choose(busy, prompt, engines).id());
+    }
+  }
+
+  @Test
+  public void firstPartOfManySessionsIsReadOnFewEngines() {
+    EnginePlacement placement = new EnginePlacement();
+    List<UpstreamLoad> engines = PlacementFixture.engines(13);
+    Set<UpstreamId> chosen = new HashSet<>();
+    for (int session = 0; session < 200; session++) {
+      choose(placement, PlacementFixture.prompt(session % 20 + 10, session, 0), engines);
+      chosen.add(choose(placement, PlacementFixture.prompt(1, session, 1), engines).id());
+    }
+    assertTrue(chosen.size() <= 12, "read on " + chosen.size());
+    assertTrue(chosen.size() >= 3, "read on " + chosen.size());
+  }
+
+  @Test
+  public void hotSessionSpillsBeforeItsEngineExceedsTheBound() {
+    EnginePlacement placement = new EnginePlacement();
+    List<UpstreamLoad> engines = PlacementFixture.engines(13);
+    Map<UpstreamId, Integer> load = new HashMap<>();
+    for (int request = 0; request < 130; request++) {
+      UpstreamLoad engine = choose(placement, PlacementFixture.prompt(1, 7, request), engines);
+      engine.started();
+      load.merge(engine.id(), 1, Integer::sum);
+    }
+    int most = load.values().stream().mapToInt(Integer::intValue).max().orElseThrow();
+    assertTrue(most <= 2 * 10 + 3, "most " + most);
+  }
+
+  @Test
+  public void joiningEnginesLeaveSessionsWhereTheirPromptsAre() {
+    EnginePlacement placement = new EnginePlacement();
+    List<UpstreamLoad> before = PlacementFixture.engines(13);
+    List<UpstreamLoad> after = new ArrayList<>(before);
+    for (int i = 0; i < 3; i++) {
+      after.add(PlacementFixture.engine("joined-" + i, PlacementFixture.WALL_MILLIS - 2_000));
+    }
+    for (int session = 0; session < 100; session++) {
+      Prompt prompt = PlacementFixture.prompt(session % 4, session, 0);
+      assertEquals(choose(placement, prompt, after).id(), choose(placement, prompt, before).id());
+    }
+  }
+
+  @Test
+  public void joiningEnginesTakeWhatExceedsTheBoundOfTheOthers() {
+    EnginePlacement placement = new EnginePlacement();
+    List<UpstreamLoad> engines = PlacementFixture.engines(3);
+    engines.forEach(it -> it.reported(90, 10, NOW));
+    engines.add(PlacementFixture.engine("a", PlacementFixture.WALL_MILLIS - 2_000));
+    engines.add(PlacementFixture.engine("b", PlacementFixture.WALL_MILLIS - 2_000));
+    engines.get(0).reported(300, 0, NOW);
+    engines.get(1).reported(300, 0, NOW);
+    engines.get(2).reported(300, 0, NOW);
+    UpstreamLoad chosen = choose(placement, PlacementFixture.prompt(1, 1, 1), engines);
+    assertTrue(chosen.id().value().length() == 1, "chosen " + chosen.id());
+  }
+
+  @Test
+  public void coldEngineGetsNoMoreThanItsAllowance() {
+    EnginePlacement placement = new EnginePlacement();
+    List<UpstreamLoad> engines = PlacementFixture.engines(5);
+    engines.forEach(it -> it.cold().coldUntil(NOW + 3_000));
+    int sent = 0;
+    for (int request = 0; request < 100; request++) {
+      var chosen =
+          placement.choose(
+              PlacementFixture.prompt(1, request, request),
+              engines,
+              NOW,
+              PlacementFixture.WALL_MILLIS);
+      if (chosen.isPresent()) {
+        chosen.get().cold().sent(NOW);
+        sent++;
+      }
+    }
+    assertEquals(sent, 5);
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/ServicePlacementTest.java
@@ -0,0 +1,52 @@
+package org.ragworttide.coordination.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.id.ZoneId;
+import org.testng.annotations.Test;
+
+/** Replays load patterns before the placement on plain services. */
+public class ServicePlacementTest {
+  private final ServicePlacement placement = new ServicePlacement(new ZoneId("near"));
+
+  private static UpstreamLoad server(String name, String zone) {
+    return new UpstreamLoad(new UpstreamId(name), new ZoneId(zone), 6, 0);
+  }
+
+  private UpstreamLoad choose(List<UpstreamLoad> servers) {
+    return placement.choose(servers, 0).orElseThrow();
+  }
+
+  @Test
+  public void idleNearServerIsPreferred() {
+    UpstreamLoad near = server("a", "near");
+    UpstreamLoad far = server("b", "far");
+    assertEquals(choose(List.of(far, near)), near);
+  }
+
+  @Test
+  public void burstIsSharedWithOtherZones() {
+    List<UpstreamLoad> servers =
+        List.of(server("a", "near"), server("b", "far"), server("c", "far"));
+    servers.forEach(it -> it.answeredAfter(80));
+    for (int i = 0; i < 18; i++) {
+      choose(servers).started();
+    }
+    assertTrue(servers.stream().allMatch(it -> it.inFlight() >= 5 && it.inFlight() <= 7));
+  }
+
+  @Test
+  public void slowServerGetsLess() {
+    UpstreamLoad slow = server("a", "near");
+    UpstreamLoad quick = server("b", "near");
+    slow.answeredAfter(400);
+    quick.answeredAfter(100);
+    for (int i = 0; i < 10; i++) {
+      choose(List.of(slow, quick)).started();
+    }
+    assertEquals(slow.inFlight(), 2);
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -66,6 +66,9 @@
   RELAY_CALLER_LEFT(7005, Level.INFO, "request %s left by its caller after %s ms"),
   /** A caller sent what is not a proper request. */
   RELAY_BAD_REQUEST(7006, Level.INFO, "bad request answered %s: %s"),
+  /** A request was placed on an upstream. */
+  RELAY_PLACED(
+      7007, Level.INFO, "request %s placed at %s, load %s, own %s, of %s upstreams, session %s"),
   /** An upstream is known, or known to have changed. */
   UPSTREAM_PUT(7101, Level.INFO, "upstream %s of %s at %s, draining %s, cold for %s ms"),
   /** An upstream is gone. */
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import org.ragworttide.coordination.hash.Rendezvous;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.placement.Prompt;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.gateway.model.Organisation;
 import org.ragworttide.gateway.model.Route;
@@ -147,6 +148,14 @@
       giveUp("no upstream of service " + service + " can take it");
       return;
     }
+    context
+        .telemetry()
+        .placed(
+            request.head().id(),
+            chosen.get().load(),
+            context.view().open(service).size(),
+            now,
+            request.head().prompt().map(Prompt::sessionLabel).orElse("none"));
     attempt = new Attempt(chosen.get());
     attempt.begin();
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.placement.UpstreamLoad;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
 
@@ -23,6 +24,17 @@
     return metrics;
   }
 
+  void placed(String requestId, UpstreamLoad load, int open, long nowMillis, String session) {
+    EventLog.log(
+        LogEvent.RELAY_PLACED,
+        requestId,
+        load.id(),
+        load.estimate(nowMillis),
+        load.inFlight(),
+        open,
+        session);
+  }
+
   void refused(String requestId, Refusal refusal, String cause, long afterMillis) {
     metrics.counter("gateway_refused;reason=" + refusal).inc();
     EventLog.log(LogEvent.RELAY_REFUSED, requestId, refusal, cause, afterMillis);
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetFacts.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetFacts.java
@@ -13,15 +13,15 @@
 import org.ragworttide.gateway.model.UpstreamEntry;
 
 /**
- * Takes published facts into the view. Entries that lapse while their publisher is away, or shortly
- * after, are kept until live upstreams had time to publish again.
+ * Takes published facts into the view. Entries that lapsed while their publisher was away are kept
+ * until live upstreams had time to publish again.
  *
  * <p>Invariant: an upstream withdrawn while the publisher is in touch is removed at once. Confined
  * to the event loop.
  */
 public final class FleetFacts {
-  /** Milliseconds after the publisher's return in which lapsed entries come back, and a little. */
-  private static final long LAPSE_GRACE_MILLIS = 2_300;
+  /** Milliseconds after the publisher's return in which lapsed entries come back. */
+  private static final long LAPSE_GRACE_MILLIS = 2_000;
 
   /** Milliseconds without the publisher from which entries may have lapsed by its absence. */
   private static final long OUTAGE_MILLIS = 1_000;
@@ -30,7 +30,8 @@
   private final TimerService time;
   private final Map<UpstreamId, TimerService.Subscription> removals = new HashMap<>();
   private long lostAtMillis = -1;
-  private long graceUntilMillis = Long.MIN_VALUE;
+  private long graceUntilMillis;
+  private boolean catchingUp;
 
   /** Creates facts that go into the view. */
   public FleetFacts(FleetView view, TimerService time) {
@@ -64,7 +65,7 @@
   /** Takes that an upstream's entry is gone. */
   public void withdrawn(UpstreamId id) {
     long now = time.nowMillis();
-    if (now >= graceUntilMillis) {
+    if (!catchingUp) {
       remove(id, "withdrawn");
     } else if (!removals.containsKey(id)) {
       removals.put(id, time.after(graceUntilMillis - now, () -> remove(id, "not back")));
@@ -118,10 +119,16 @@
     lostAtMillis = -1;
     if (away >= OUTAGE_MILLIS) {
       graceUntilMillis = now + LAPSE_GRACE_MILLIS;
+      catchingUp = true;
     }
     EventLog.log(LogEvent.STORE_REGAINED, revision, away);
   }
 
+  /** Takes that all changes of the time without the publisher have been fed. */
+  public void caughtUp() {
+    catchingUp = false;
+  }
+
   private void remove(UpstreamId id, String reason) {
     removals.remove(id);
     view.remove(id);
