--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogSetup.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogSetup.java
@@ -1,10 +1,10 @@
 package org.ragworttide.daemon.log;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
 import java.time.Instant;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
@@ -71,25 +71,27 @@
 
   /** One JSON object an event. */
   static final class JsonForm extends Formatter {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final JsonFactory JSON = new JsonFactory();
 
     @Override
     public String format(LogRecord event) {
-      Map<String, String> fields = new LinkedHashMap<>();
-      fields.put("at", Instant.ofEpochMilli(event.getMillis()).toString());
-      fields.put("level", event.getLevel().getName());
-      fields.put("logger", event.getLoggerName());
       String message = formatMessage(event);
-      if (EventLog.isNumbered(message)) {
-        fields.put("event", message.substring(0, EventLog.NUMBER_CHARS));
-        message = message.substring(EventLog.NUMBER_CHARS + 1);
-      }
-      fields.put("message", message);
-      try {
-        return JSON.writeValueAsString(fields) + System.lineSeparator();
-      } catch (JsonProcessingException e) {
+      StringWriter line = new StringWriter();
+      try (JsonGenerator json = JSON.createGenerator(line)) {
+        json.writeStartObject();
+        json.writeStringField("at", Instant.ofEpochMilli(event.getMillis()).toString());
+        json.writeStringField("level", event.getLevel().getName());
+        json.writeStringField("logger", event.getLoggerName());
+        if (EventLog.isNumbered(message)) {
+          json.writeStringField("event", message.substring(0, EventLog.NUMBER_CHARS));
+          message = message.substring(EventLog.NUMBER_CHARS + 1);
+        }
+        json.writeStringField("message", message);
+        json.writeEndObject();
+      } catch (IOException e) {
         throw new IllegalStateException("text cannot be written as JSON", e);
       }
+      return line + System.lineSeparator();
     }
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -43,6 +43,9 @@
   /** Milliseconds that a connection must be idle to be closed by a stop: a request in flight. */
   private static final long STOP_IDLE_MILLIS = 300;
 
+  /** Milliseconds for the first configuration: a connection and a read of the store, cold. */
+  private static final long FIRST_READ_MILLIS = 1_500;
+
   /** Milliseconds left for the process to end. */
   private static final long EXIT_MILLIS = 500;
 
@@ -75,7 +78,8 @@
             new Placement(view, settings.zone()),
             new RetryAllowances(settings.retryShare(), settings.retryReserve()),
             new Telemetry(new MetricRegistry()),
-            new SplittableRandom());
+            new SplittableRandom(),
+            time.nowMillis() + FIRST_READ_MILLIS);
   }
 
   /** Returns what the VM believes, for use on the event loop. */
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -46,6 +46,9 @@
   /** Multiple of the latency objective after which a silent upstream is given up for another. */
   private static final double SILENCE_FACTOR = 1.5;
 
+  /** Milliseconds between looks for the first configuration. */
+  private static final long CONFIGURATION_CHECK_MILLIS = 20;
+
   /** Milliseconds that a second attempt needs at least. */
   private static final long LEAST_ATTEMPT_MILLIS = 100;
 
@@ -76,7 +79,7 @@
   /** Starts the exchange. */
   public void start() {
     if (context.view().configuration().isEmpty()) {
-      refuse(Refusal.NOT_CONFIGURED, "no configuration read");
+      awaitConfiguration();
       return;
     }
     HttpHeaders headers = request.http().headers();
@@ -97,6 +100,16 @@
     place();
   }
 
+  /** A VM that has just started reads its configuration within milliseconds if it can. */
+  private void awaitConfiguration() {
+    long left = context.configurationDueMillis() - context.time().nowMillis();
+    if (left <= 0) {
+      refuse(Refusal.NOT_CONFIGURED, "no configuration read");
+    } else {
+      deadline = context.time().after(Math.min(left, CONFIGURATION_CHECK_MILLIS), this::start);
+    }
+  }
+
   /** Refuses the request, since the VM stops. */
   public void refuseStopping() {
     refuse(Refusal.STOPPING, "stop in progress");
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
@@ -21,6 +21,7 @@
  * @param retries allows second sends
  * @param telemetry counts and logs
  * @param random spreads returns of refused callers
+ * @param configurationDueMillis until when requests wait for the first configuration
  */
 public record RelayContext(
     EventLoop loop,
@@ -31,4 +32,5 @@
     Placement placement,
     RetryAllowances retries,
     Telemetry telemetry,
-    SplittableRandom random) {}
+    SplittableRandom random,
+    long configurationDueMillis) {}
--- a/gateway/src/main/java/org/ragworttide/gateway/settings/SettingsDocument.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/settings/SettingsDocument.java
@@ -1,7 +1,6 @@
 package org.ragworttide.gateway.settings;
 
 import java.net.InetSocketAddress;
-import java.util.Objects;
 import java.util.Optional;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.id.ZoneId;
@@ -32,13 +31,8 @@
   /** Share of the fleet's ratio that is used, so that a window's edges cannot exceed it. */
   private static final double RATIO_USED = 0.9;
 
-  /** Checks that all is there and in range. */
+  /** Checks the ranges. */
   public SettingsDocument {
-    require(vm, "vm");
-    require(zone, "zone");
-    require(listen, "listen");
-    require(store, "store");
-    require(retries, "retries");
     if (!(graceSeconds > 0)) {
       throw new IllegalArgumentException("graceSeconds must be positive");
     }
@@ -54,14 +48,7 @@
    * @param readiness for the platform's question whether the VM takes callers
    * @param metrics for scrapers; not served if absent
    */
-  public record Listen(String callers, String readiness, String metrics) {
-
-    /** Checks that all is there. */
-    public Listen {
-      require(callers, "listen.callers");
-      require(readiness, "listen.readiness");
-    }
-  }
+  public record Listen(String callers, String readiness, String metrics) {}
 
   /**
    * The fleet's bound on retries of a service.
@@ -107,8 +94,4 @@
     return new InetSocketAddress(
         text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
   }
-
-  private static void require(Object value, String name) {
-    Objects.requireNonNull(value, name + " is missing");
-  }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/settings/SettingsFile.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/settings/SettingsFile.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
-import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -11,11 +11,7 @@
 /** Reads a gateway's settings file, JSON with comments; stateless. */
 public final class SettingsFile {
   private static final JsonMapper JSON =
-      JsonMapper.builder()
-          .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
-          .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-          .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
-          .build();
+      JsonMapper.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
 
   private SettingsFile() {}
 
@@ -38,12 +34,45 @@
     }
   }
 
-  /** Reads and checks the text of a settings file. */
+  /** Reads and checks the text of a settings file; settings it doesn't know are ignored. */
   public static Result parse(String text) {
     try {
-      return new Result.Read(JSON.readValue(text, SettingsDocument.class));
+      return new Result.Read(document(JSON.readTree(text)));
     } catch (JsonProcessingException e) {
       return new Result.Refused(e.getOriginalMessage());
+    } catch (IllegalArgumentException e) {
+      return new Result.Refused(e.getMessage());
     }
   }
+
+  private static SettingsDocument document(JsonNode tree) {
+    JsonNode listen = tree.path("listen");
+    JsonNode retries = tree.path("retries");
+    return new SettingsDocument(
+        text(tree, "vm"),
+        text(tree, "zone"),
+        new SettingsDocument.Listen(
+            text(listen, "callers"),
+            text(listen, "readiness"),
+            listen.has("metrics") ? text(listen, "metrics") : null),
+        text(tree, "store"),
+        new SettingsDocument.Retries(number(retries, "ratio"), (int) number(retries, "slack")),
+        number(tree, "graceSeconds"));
+  }
+
+  private static String text(JsonNode node, String name) {
+    JsonNode value = node.path(name);
+    if (!value.isTextual() || value.asText().isBlank()) {
+      throw new IllegalArgumentException("setting '" + name + "' is missing or no text");
+    }
+    return value.asText();
+  }
+
+  private static double number(JsonNode node, String name) {
+    JsonNode value = node.path(name);
+    if (!value.isNumber()) {
+      throw new IllegalArgumentException("setting '" + name + "' is missing or no number");
+    }
+    return value.asDouble();
+  }
 }
