--- a/coordination/src/main/java/org/ragworttide/coordination/placement/ColdAllowance.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/ColdAllowance.java
@@ -4,20 +4,29 @@
  * Bounds what one VM sends to one upstream in cold start.
  *
  * <p>Answers the pattern in which a zone's upstreams return together, cold, and every VM turns to
- * them at once. Each VM keeps a fixed share of the upstream's bound, so the sum needs no message.
+ * them at once. Each VM keeps its share of the upstream's bound, by the number of VMs that it hears
+ * of, and no more than a fixed share when it hears of few.
  *
- * <p>Invariant: in any second at most {@link #VM_REQUESTS_PER_SECOND} + 1 requests leave. Confined
- * to one thread.
+ * <p>Invariant: requests leave at least an interval apart. Confined to one thread.
  */
 public final class ColdAllowance {
-  /** A cold upstream bears 20 requests a second (bound x 1.5 + 5); ten VMs share them. */
-  static final double VM_REQUESTS_PER_SECOND = 1;
+  /** Requests a second that a cold upstream gets from all VMs: it bears 20. */
+  private static final double FLEET_REQUESTS_PER_SECOND = 10;
+
+  /** VMs that are assumed when fewer are heard of. */
+  private static final int LEAST_FLEET = 10;
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  private final PeerLoads peers;
   private long coldUntilMillis = Long.MIN_VALUE;
   private long nextAtMillis = Long.MIN_VALUE;
 
+  /** Creates the allowance of a warm upstream. */
+  ColdAllowance(PeerLoads peers) {
+    this.peers = peers;
+  }
+
   /** Notes until when the upstream is cold. */
   public void coldUntil(long millis) {
     coldUntilMillis = millis;
@@ -35,6 +44,7 @@
 
   /** Counts a request that leaves now. */
   public void sent(long nowMillis) {
-    nextAtMillis = nowMillis + (long) (MILLIS_PER_SECOND / VM_REQUESTS_PER_SECOND);
+    int vms = Math.max(LEAST_FLEET, peers.fleetSize());
+    nextAtMillis = nowMillis + (long) (MILLIS_PER_SECOND * vms / FLEET_REQUESTS_PER_SECOND);
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -1,5 +1,6 @@
 package org.ragworttide.coordination.placement;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -36,6 +37,9 @@
    */
   private static final double LOAD_BOUND = 1.6;
 
+  /** The same while engines join, whose idleness lowers the mean. */
+  private static final double JOINING_LOAD_BOUND = 1.3;
+
   /** Requests above the multiple of the mean, for small means. */
   private static final int LOAD_SLACK = 2;
 
@@ -63,17 +67,19 @@
     if (open.isEmpty()) {
       return Optional.empty();
     }
-    double bound = bound(open, nowMillis);
     if (prompt.parts().isEmpty()) {
       return leastLoaded(open, nowMillis);
     }
     PromptPart first = prompt.parts().getFirst();
     long session = prompt.affinityPart().idHash();
     List<UpstreamLoad> order = byWeight(Seniority.established(open, wallMillis), first.idHash());
+    List<UpstreamLoad> joining = new ArrayList<>(open);
+    joining.removeAll(order);
+    double bound = bound(open, !joining.isEmpty(), nowMillis);
     int group = Math.min(order.size(), groupSize(first, order.size()));
     return within(byWeight(order.subList(0, group), session), bound, nowMillis)
+        .or(() -> within(byWeight(joining, session), bound, nowMillis))
         .or(() -> within(order.subList(group, order.size()), bound, nowMillis))
-        .or(() -> within(byWeight(open, session), bound, nowMillis))
         .or(() -> leastLoaded(open, nowMillis));
   }
 
@@ -106,12 +112,13 @@
     }
   }
 
-  private static double bound(List<UpstreamLoad> open, long nowMillis) {
+  private static double bound(List<UpstreamLoad> open, boolean joining, long nowMillis) {
     int sum = 0;
     for (UpstreamLoad engine : open) {
       sum += engine.estimate(nowMillis);
     }
-    return LOAD_BOUND * sum / open.size() + LOAD_SLACK;
+    double multiple = joining ? JOINING_LOAD_BOUND : LOAD_BOUND;
+    return multiple * sum / open.size() + LOAD_SLACK;
   }
 
   private static Optional<UpstreamLoad> within(
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
@@ -17,6 +17,9 @@
    */
   private static final long REPORT_LIFETIME_MILLIS = 4_000;
 
+  /** Milliseconds for which a report is newer than what other VMs tell. */
+  private static final long FRESH_REPORT_MILLIS = 200;
+
   /** Weight of the newest duration in the mean: the usual smoothing of TCP's round-trip time. */
   private static final double DURATION_WEIGHT = 0.125;
 
@@ -24,6 +27,7 @@
   private final ZoneId zone;
   private final long idHash;
   private final long bornMillis;
+  private final PeerLoads peers;
   private final ColdAllowance cold;
   private int slots;
   private int inFlight;
@@ -39,13 +43,15 @@
    * @param zone its availability zone
    * @param slots how many requests it works on at a time, positive
    * @param bornMillis Unix time of its start in milliseconds, 0 if unknown
+   * @param peers the requests of other VMs
    */
-  public UpstreamLoad(UpstreamId id, ZoneId zone, int slots, long bornMillis) {
+  public UpstreamLoad(UpstreamId id, ZoneId zone, int slots, long bornMillis, PeerLoads peers) {
     this.id = id;
     this.zone = zone;
     this.idHash = Rendezvous.hash(id.value());
     this.bornMillis = bornMillis;
-    this.cold = new ColdAllowance();
+    this.peers = peers;
+    this.cold = new ColdAllowance(peers);
     slots(slots);
   }
 
@@ -123,10 +129,17 @@
 
   /** Returns the requests believed to be at the upstream, those of other VMs included. */
   public int estimate(long nowMillis) {
-    if (nowMillis - reportedAtMillis > REPORT_LIFETIME_MILLIS) {
-      return inFlight;
+    int told = inFlight + peers.inFlight(key());
+    long lifetime = peers.fleetSize() > 1 ? FRESH_REPORT_MILLIS : REPORT_LIFETIME_MILLIS;
+    if (nowMillis - reportedAtMillis > lifetime) {
+      return told;
     }
-    return Math.max(inFlight, reported + startedSinceReport);
+    return Math.max(told, reported + startedSinceReport);
+  }
+
+  /** Returns the upstream's key in what VMs tell each other. */
+  public int key() {
+    return PeerLoads.key(idHash);
   }
 
   long weight(long keyHash) {
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/PlacementFixture.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/PlacementFixture.java
@@ -24,7 +24,8 @@
   }
 
   static UpstreamLoad engine(String name, long bornMillis) {
-    return new UpstreamLoad(new UpstreamId(name), new ZoneId("zone"), 96, bornMillis);
+    return new UpstreamLoad(
+        new UpstreamId(name), new ZoneId("zone"), 96, bornMillis, new PeerLoads());
   }
 
   static Prompt prompt(int first, int session, int request) {
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/ServicePlacementTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/ServicePlacementTest.java
@@ -13,7 +13,7 @@
   private final ServicePlacement placement = new ServicePlacement(new ZoneId("near"));
 
   private static UpstreamLoad server(String name, String zone) {
-    return new UpstreamLoad(new UpstreamId(name), new ZoneId(zone), 6, 0);
+    return new UpstreamLoad(new UpstreamId(name), new ZoneId(zone), 6, 0, new PeerLoads());
   }
 
   private UpstreamLoad choose(List<UpstreamLoad> servers) {
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -69,6 +69,10 @@
   /** A request was placed on an upstream. */
   RELAY_PLACED(
       7007, Level.INFO, "request %s placed at %s, load %s, own %s, of %s upstreams, session %s"),
+  /** Another VM is heard of. */
+  PEER_HEARD(7201, Level.INFO, "VM %s heard at %s"),
+  /** Another VM has been silent for long. */
+  PEER_LOST(7202, Level.INFO, "VM at %s silent for %s ms"),
   /** An upstream is known, or known to have changed. */
   UPSTREAM_PUT(7101, Level.INFO, "upstream %s of %s at %s, draining %s, cold for %s ms"),
   /** An upstream is gone. */
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannel;
+import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
@@ -14,6 +15,7 @@
 import org.ragworttide.daemon.metrics.MetricsText;
 import org.ragworttide.gateway.caller.CallerConnections;
 import org.ragworttide.gateway.caller.CallerServer;
+import org.ragworttide.gateway.peer.PeerExchange;
 import org.ragworttide.gateway.relay.Placement;
 import org.ragworttide.gateway.relay.RelayContext;
 import org.ragworttide.gateway.relay.RetryAllowances;
@@ -101,6 +103,8 @@
   public void start() {
     Class<? extends ServerChannel> type = loops.onChannelClass(ServerSocketChannel.class, loop);
     CallerServer.bind(loop, type, settings.callers(), context, connections).syncUninterruptibly();
+    new PeerExchange(settings.vm(), settings.peers(), settings.seeds(), view, time)
+        .start(loop, loops.onChannelClass(DatagramChannel.class, loop));
     serveReadiness();
     settings.metrics().ifPresent(this::serveMetrics);
     time.every(
--- a/gateway/src/main/java/org/ragworttide/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package org.ragworttide.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.id.ZoneId;
@@ -14,6 +15,8 @@
  * @param zone its availability zone
  * @param callers where callers connect
  * @param readiness where the platform asks whether the VM takes callers
+ * @param peers where other VMs tell their load
+ * @param seeds addresses of some VMs, which may be gone
  * @param metrics where metrics are served, if they are
  * @param retryShare retries that the fleet may send for one request
  * @param retryReserve retries beyond the share that this VM may save up
@@ -24,6 +27,8 @@
     ZoneId zone,
     InetSocketAddress callers,
     InetSocketAddress readiness,
+    InetSocketAddress peers,
+    List<InetSocketAddress> seeds,
     Optional<InetSocketAddress> metrics,
     double retryShare,
     int retryReserve,
@@ -31,6 +36,7 @@
 
   /** Checks the ranges. */
   public GatewaySettings {
+    seeds = List.copyOf(seeds);
     if (graceMillis <= 0 || retryReserve < 0 || !(retryShare >= 0 && retryShare <= 1)) {
       throw new IllegalArgumentException("settings of the gateway are out of range");
     }
--- /dev/null
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
@@ -0,0 +1,113 @@
+package org.ragworttide.gateway.peer;
+
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.ragworttide.coordination.id.VmId;
+
+/**
+ * What a VM tells another: its requests at each upstream and the VMs that it knows.
+ *
+ * <p>In protobuf's encoding: 1 name, 2 incarnation, 3 sequence, 4 addresses of VMs (IPv4 and port),
+ * 5 upstream keys, 6 requests, in the keys' order. Immutable, safe for use by any thread.
+ *
+ * @param vm the VM that speaks
+ * @param incarnation tells its runs apart
+ * @param sequence grows within a run
+ * @param known addresses of VMs that it has heard of lately
+ * @param inFlight its requests by upstream key
+ */
+record PeerStatement(
+    VmId vm,
+    long incarnation,
+    long sequence,
+    List<InetSocketAddress> known,
+    Map<Integer, Integer> inFlight) {
+  private static final int VM = 1;
+  private static final int INCARNATION = 2;
+  private static final int SEQUENCE = 3;
+  private static final int KNOWN = 4;
+  private static final int KEY = 5;
+  private static final int COUNT = 6;
+  private static final int IPV4_BYTES = 4;
+
+  PeerStatement {
+    known = List.copyOf(known);
+    inFlight = Map.copyOf(inFlight);
+  }
+
+  byte[] encode() {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+    try {
+      out.writeString(VM, vm.value());
+      out.writeUInt64(INCARNATION, incarnation);
+      out.writeUInt64(SEQUENCE, sequence);
+      for (InetSocketAddress address : known) {
+        out.writeByteArray(KNOWN, bytes(address));
+      }
+      for (Map.Entry<Integer, Integer> entry : inFlight.entrySet()) {
+        out.writeFixed32(KEY, entry.getKey());
+        out.writeUInt32(COUNT, entry.getValue());
+      }
+      out.flush();
+    } catch (IOException e) {
+      throw new IllegalStateException("a byte array takes all bytes", e);
+    }
+    return bytes.toByteArray();
+  }
+
+  /** Returns the statement, empty if the bytes are none. */
+  static Optional<PeerStatement> decode(byte[] bytes) {
+    CodedInputStream in = CodedInputStream.newInstance(bytes);
+    String name = "";
+    long incarnation = 0;
+    long sequence = 0;
+    List<InetSocketAddress> known = new ArrayList<>();
+    Map<Integer, Integer> inFlight = new HashMap<>();
+    int key = 0;
+    try {
+      for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+        switch (WireFormat.getTagFieldNumber(tag)) {
+          case VM -> name = in.readString();
+          case INCARNATION -> incarnation = in.readUInt64();
+          case SEQUENCE -> sequence = in.readUInt64();
+          case KNOWN -> known.add(address(in.readByteArray()));
+          case KEY -> key = in.readFixed32();
+          case COUNT -> inFlight.put(key, in.readUInt32());
+          default -> in.skipField(tag);
+        }
+      }
+      return Optional.of(new PeerStatement(new VmId(name), incarnation, sequence, known, inFlight));
+    } catch (IOException | IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  private static byte[] bytes(InetSocketAddress address) {
+    byte[] ip = address.getAddress().getAddress();
+    byte[] all = new byte[ip.length + 2];
+    System.arraycopy(ip, 0, all, 0, ip.length);
+    all[ip.length] = (byte) (address.getPort() >> Byte.SIZE);
+    all[ip.length + 1] = (byte) address.getPort();
+    return all;
+  }
+
+  private static InetSocketAddress address(byte[] bytes) throws IOException {
+    if (bytes.length != IPV4_BYTES + 2) {
+      throw new IOException("not an IPv4 address and a port");
+    }
+    byte[] ip = java.util.Arrays.copyOf(bytes, IPV4_BYTES);
+    int port = (bytes[IPV4_BYTES] & 0xff) << Byte.SIZE | bytes[IPV4_BYTES + 1] & 0xff;
+    return new InetSocketAddress(InetAddress.getByAddress(ip), port);
+  }
+}
--- a/gateway/src/main/java/org/ragworttide/gateway/settings/SettingsDocument.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/settings/SettingsDocument.java
@@ -1,6 +1,7 @@
 package org.ragworttide.gateway.settings;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.id.ZoneId;
@@ -14,12 +15,19 @@
  * @param vm this VM's name
  * @param zone its availability zone
  * @param listen where it listens, each IP:PORT
+ * @param peers how VMs find each other
  * @param store the address of the platform's store, IP:PORT
  * @param retries the fleet's bound on retries
  * @param graceSeconds how long a stop may take
  */
 public record SettingsDocument(
-    String vm, String zone, Listen listen, String store, Retries retries, double graceSeconds) {
+    String vm,
+    String zone,
+    Listen listen,
+    Peers peers,
+    String store,
+    Retries retries,
+    double graceSeconds) {
   private static final double MILLIS_PER_SECOND = 1_000;
 
   /**
@@ -50,6 +58,29 @@
    */
   public record Listen(String callers, String readiness, String metrics) {}
 
+  /**
+   * How VMs find each other.
+   *
+   * <p>Immutable, safe for use by any thread.
+   *
+   * @param listen where this VM listens for others, IP:PORT; the port is the same on all VMs
+   * @param seeds addresses of some VMs, of which only the IP counts
+   */
+  public record Peers(String listen, List<String> seeds) {
+
+    /** Copies the seeds. */
+    public Peers {
+      seeds = List.copyOf(seeds);
+    }
+
+    private List<InetSocketAddress> seedAddresses() {
+      int port = address(listen).getPort();
+      return seeds.stream()
+          .map(seed -> new InetSocketAddress(address(seed).getAddress(), port))
+          .toList();
+    }
+  }
+
   /**
    * The fleet's bound on retries of a service.
    *
@@ -80,6 +111,8 @@
         new ZoneId(zone),
         address(listen.callers()),
         address(listen.readiness()),
+        address(peers.listen()),
+        peers.seedAddresses(),
         Optional.ofNullable(listen.metrics()).map(SettingsDocument::address),
         retries.ratio() * RATIO_USED,
         retries.slack() / SLACK_SHARES,
--- a/gateway/src/main/java/org/ragworttide/gateway/settings/SettingsFile.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/settings/SettingsFile.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Reads a gateway's settings file, JSON with comments; stateless. */
 public final class SettingsFile {
@@ -55,6 +57,7 @@
             text(listen, "callers"),
             text(listen, "readiness"),
             listen.has("metrics") ? text(listen, "metrics") : null),
+        new SettingsDocument.Peers(text(tree.path("peers"), "listen"), seeds(tree.path("peers"))),
         text(tree, "store"),
         new SettingsDocument.Retries(number(retries, "ratio"), (int) number(retries, "slack")),
         number(tree, "graceSeconds"));
@@ -68,6 +71,12 @@
     return value.asText();
   }
 
+  private static List<String> seeds(JsonNode peers) {
+    List<String> seeds = new ArrayList<>();
+    peers.path("seeds").forEach(seed -> seeds.add(seed.asText()));
+    return seeds;
+  }
+
   private static double number(JsonNode node, String name) {
     JsonNode value = node.path(name);
     if (!value.isNumber()) {
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import org.ragworttide.coordination.placement.PeerLoads;
 import org.ragworttide.coordination.placement.UpstreamLoad;
 import org.ragworttide.gateway.model.UpstreamEntry;
 
@@ -18,9 +19,10 @@
   private boolean closed;
 
   /** Creates an upstream without connections. */
-  public Upstream(UpstreamEntry entry, long nowMillis) {
+  public Upstream(UpstreamEntry entry, PeerLoads peers, long nowMillis) {
     this.entry = entry;
-    this.load = new UpstreamLoad(entry.id(), entry.zone(), entry.slots(), entry.bornMillis());
+    this.load =
+        new UpstreamLoad(entry.id(), entry.zone(), entry.slots(), entry.bornMillis(), peers);
     load.cold().coldUntil(nowMillis + entry.coldLeftMillis());
   }
 
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
+import org.ragworttide.coordination.placement.PeerLoads;
 import org.ragworttide.gateway.model.CallerLimits;
 import org.ragworttide.gateway.model.Configuration;
 import org.ragworttide.gateway.model.Organisation;
@@ -29,6 +30,7 @@
 public final class FleetView {
   private final Map<UpstreamId, Upstream> upstreams = new HashMap<>();
   private final Map<ServiceName, List<Upstream>> byService = new HashMap<>();
+  private final PeerLoads peers = new PeerLoads();
   private final Set<ZoneId> evacuated = new HashSet<>();
   private Optional<Configuration> configuration = Optional.empty();
   private long configurationRevision;
@@ -64,7 +66,7 @@
       return;
     }
     remove(entry.id());
-    Upstream added = new Upstream(entry, nowMillis);
+    Upstream added = new Upstream(entry, peers, nowMillis);
     upstreams.put(entry.id(), added);
     byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(added);
   }
@@ -118,6 +120,11 @@
     return Optional.ofNullable(policies.get(service));
   }
 
+  /** Returns the requests of other VMs. */
+  public PeerLoads peers() {
+    return peers;
+  }
+
   /** Returns all upstreams. */
   public Collection<Upstream> upstreams() {
     return Collections.unmodifiableCollection(upstreams.values());
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
+import org.ragworttide.coordination.placement.PeerLoads;
 import org.ragworttide.gateway.PlainDialect;
 import org.ragworttide.gateway.model.ServiceName;
 import org.ragworttide.gateway.model.UpstreamEntry;
@@ -38,6 +39,7 @@
               false,
               0,
               0),
+          new PeerLoads(),
           0);
 
   private static final class Recorder implements AttemptListener {
