--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -35,13 +35,13 @@
    * Multiple of the mean load that an engine may have. Rules forbid twice the mean and three; the
    * rest is for what other VMs send between two reports.
    */
-  private static final double LOAD_BOUND = 1.8;
+  private static final double LOAD_BOUND = 1.7;
 
   /** The same while engines join, whose idleness lowers the mean. */
-  private static final double JOINING_LOAD_BOUND = 1.5;
+  private static final double JOINING_LOAD_BOUND = 1.4;
 
   /** Requests above the multiple of the mean, for small means. */
-  private static final int LOAD_SLACK = 3;
+  private static final int LOAD_SLACK = 2;
 
   /** Requests of other first parts assumed at the start, when a few are no sample. */
   private static final int UNSEEN_REQUESTS = 64;
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/OutlierDetector.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/OutlierDetector.java
@@ -23,7 +23,7 @@
   private static final double SERVICE_OUTCOME_WEIGHT = 0.02;
 
   /** Share of failures from which an upstream may be out; below, it still serves most. */
-  private static final double HIGH_FAILURE_SHARE = 0.4;
+  private static final double HIGH_FAILURE_SHARE = 0.3;
 
   /** Multiple of the service's share of failures that makes an outlier. */
   private static final double MULTIPLE_OF_MEAN = 2;
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/ServicePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/ServicePlacement.java
@@ -18,8 +18,8 @@
   /** Milliseconds that count for a request to another zone: a few round trips between zones. */
   private static final double OTHER_ZONE_MILLIS = 10;
 
-  /** Milliseconds expected of an upstream that has not answered yet. */
-  private static final double UNKNOWN_DURATION_MILLIS = 20;
+  /** Milliseconds expected at least, so that an upstream not heard of takes its turn, no more. */
+  private static final double LEAST_DURATION_MILLIS = 5;
 
   private final ZoneId ownZone;
 
@@ -31,15 +31,12 @@
   /** Chooses an upstream, empty if no candidate admits a request. */
   public Optional<UpstreamLoad> choose(List<UpstreamLoad> candidates, long nowMillis) {
     return Warmth.preferWarm(candidates, nowMillis).stream()
-        .min(Comparator.comparingDouble(this::expectedMillis));
+        .min(Comparator.comparingDouble(upstream -> expectedMillis(upstream, nowMillis)));
   }
 
-  private double expectedMillis(UpstreamLoad upstream) {
-    double duration =
-        upstream.meanDurationMillis() == 0
-            ? UNKNOWN_DURATION_MILLIS
-            : upstream.meanDurationMillis();
-    double queued = duration * (1 + (double) upstream.inFlight());
+  private double expectedMillis(UpstreamLoad upstream, long nowMillis) {
+    double duration = Math.max(LEAST_DURATION_MILLIS, upstream.meanDurationMillis(nowMillis));
+    double queued = duration * (1 + (double) upstream.estimate(nowMillis));
     return upstream.zone().equals(ownZone) ? queued : queued + OTHER_ZONE_MILLIS;
   }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
@@ -20,6 +20,9 @@
   /** Milliseconds for which a report is newer than what other VMs tell. */
   private static final long FRESH_REPORT_MILLIS = 200;
 
+  /** Milliseconds without an answer after which a mean duration counts half. */
+  private static final long DURATION_HALF_LIFE_MILLIS = 4_000;
+
   /** Weight of the newest duration in the mean: the usual smoothing of TCP's round-trip time. */
   private static final double DURATION_WEIGHT = 0.125;
 
@@ -35,6 +38,7 @@
   private int startedSinceReport;
   private long reportedAtMillis = Long.MIN_VALUE / 2;
   private double meanDurationMillis;
+  private long answeredAtMillis;
 
   /**
    * Creates an upstream without requests.
@@ -93,9 +97,13 @@
     return inFlight;
   }
 
-  /** Returns the mean duration of the VM's requests there in milliseconds, 0 if none has ended. */
-  public double meanDurationMillis() {
-    return meanDurationMillis;
+  /**
+   * Returns the mean duration of the VM's requests there in milliseconds, 0 if none has ended. It
+   * fades while nothing is heard, so that an upstream that was slow once is tried again.
+   */
+  public double meanDurationMillis(long nowMillis) {
+    double silences = (double) (nowMillis - answeredAtMillis) / DURATION_HALF_LIFE_MILLIS;
+    return meanDurationMillis * Math.pow(2, -silences);
   }
 
   /** Notes that a request of this VM was sent. */
@@ -113,7 +121,8 @@
   }
 
   /** Notes how long an answered request took. */
-  public void answeredAfter(long millis) {
+  public void answeredAfter(long millis, long nowMillis) {
+    answeredAtMillis = nowMillis;
     meanDurationMillis =
         meanDurationMillis == 0
             ? millis
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/OutlierDetectorTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/OutlierDetectorTest.java
@@ -3,13 +3,21 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Arrays;
 import java.util.SplittableRandom;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Replays patterns of failing upstreams before the detector. */
 public class OutlierDetectorTest {
-  private final OutlierDetector detector = new OutlierDetector();
+  private OutlierDetector detector;
+
+  /** Begins with a detector that has heard nothing. */
+  @BeforeMethod
+  public void start() {
+    detector = new OutlierDetector();
+  }
 
   private static UpstreamId id(int index) {
     return new UpstreamId("upstream-" + index);
@@ -41,14 +49,14 @@
   @Test
   public void upstreamsThatAllFailTwoInHundredStay() {
     double[] shares = new double[13];
-    java.util.Arrays.fill(shares, 0.02);
+    Arrays.fill(shares, 0.02);
     assertTrue(out(13, shares, 200) < 13 * 200 / 100);
   }
 
   @Test
   public void upstreamsThatAllFailAlikeMostlyStay() {
     double[] shares = new double[13];
-    java.util.Arrays.fill(shares, 0.45);
+    Arrays.fill(shares, 0.45);
     assertTrue(out(13, shares, 200) < 13 * 200 / 10);
   }
 
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/ServicePlacementTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/ServicePlacementTest.java
@@ -31,7 +31,7 @@
   public void burstIsSharedWithOtherZones() {
     List<UpstreamLoad> servers =
         List.of(server("a", "near"), server("b", "far"), server("c", "far"));
-    servers.forEach(it -> it.answeredAfter(80));
+    servers.forEach(it -> it.answeredAfter(80, 0));
     for (int i = 0; i < 18; i++) {
       choose(servers).started();
     }
@@ -42,8 +42,8 @@
   public void slowServerGetsLess() {
     UpstreamLoad slow = server("a", "near");
     UpstreamLoad quick = server("b", "near");
-    slow.answeredAfter(400);
-    quick.answeredAfter(100);
+    slow.answeredAfter(400, 0);
+    quick.answeredAfter(100, 0);
     for (int i = 0; i < 10; i++) {
       choose(List.of(slow, quick)).started();
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -416,7 +416,7 @@
       }
       outcome(true, "");
       long now = context.time().nowMillis();
-      upstream.load().answeredAfter(now - sentAtMillis);
+      upstream.load().answeredAfter(now - sentAtMillis, now);
       context
           .telemetry()
           .answered(request.head().id(), answer.head().status().code(), id, elapsedMillis());
