--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -30,7 +30,7 @@
  */
 public final class PeerExchange {
   /** Milliseconds between statements to the VMs of a small fleet. */
-  private static final long PERIOD_MILLIS = 250;
+  private static final long PERIOD_MILLIS = 150;
 
   /** Bytes a second that a VM spends on statements: the target for control traffic. */
   private static final int BYTES_PER_SECOND = 4_096;
@@ -41,8 +41,8 @@
   /** Addresses in a statement: enough to find all VMs of a small fleet at once. */
   private static final int MAX_KNOWN = 16;
 
-  /** Periods between statements to seeds that are not heard of. */
-  private static final int SEED_PERIODS = 4;
+  /** Periods between statements that name known VMs, and go to seeds not heard of. */
+  private static final int INTRODUCTION_PERIODS = 6;
 
   private static final long MILLIS_PER_SECOND = 1_000;
 
@@ -152,7 +152,7 @@
     for (InetSocketAddress peer : to.subList(0, Math.min(to.size(), Math.max(1, allowed)))) {
       send(statement, peer);
     }
-    if (sequence % SEED_PERIODS == 1) {
+    if (introduces()) {
       seeds.stream()
           .filter(seed -> !seed.equals(address) && !heardAtMillis.containsKey(seed))
           .forEach(seed -> send(statement, seed));
@@ -172,9 +172,18 @@
                 inFlight.put(it.load().key(), it.load().inFlight());
               }
             });
+    sequence++;
+    List<InetSocketAddress> known = introduces() ? someKnown() : List.of();
+    return new PeerStatement(vm, incarnation, sequence, known, inFlight);
+  }
+
+  private boolean introduces() {
+    return sequence % INTRODUCTION_PERIODS == 1;
+  }
+
+  private List<InetSocketAddress> someKnown() {
     List<InetSocketAddress> known = new ArrayList<>(heardAtMillis.keySet());
     Collections.shuffle(known, random);
-    return new PeerStatement(
-        vm, incarnation, ++sequence, known.subList(0, Math.min(MAX_KNOWN, known.size())), inFlight);
+    return known.subList(0, Math.min(MAX_KNOWN, known.size()));
   }
 }
