Let requests with short prompts make room first

Cause: at the load bound long prompts moved like short ones, 8,600 tokens read again each; and what spilled went to the engines of the first part's order, which filled up in turn. Short prompts (under 1,000 shared tokens) keep to 1.3 x mean + 1, long ones to 1.8 x mean + 3; spills follow the session's order.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -31,17 +31,11 @@
   /** Tokens of a first part that may be read on every engine: tens of milliseconds of work. */
   private static final double CHEAP_TOKENS = 1_000;
 
-  /**
-   * Multiple of the mean load that an engine may have. Rules forbid twice the mean and three; the
-   * rest is for what other VMs send between two reports.
-   */
-  private static final double LOAD_BOUND = 1.7;
-
-  /** The same while engines join, whose idleness lowers the mean. */
-  private static final double JOINING_LOAD_BOUND = 1.4;
+  /** What an engine may hold for a request whose prompt is long to read elsewhere. */
+  private static final LoadBound FIRM_BOUND = new LoadBound(1.8, 1.5, 3);
 
-  /** Requests above the multiple of the mean, for small means. */
-  private static final int LOAD_SLACK = 2;
+  /** The same for a short prompt: such requests make room for the others first. */
+  private static final LoadBound EVEN_BOUND = new LoadBound(1.3, 1.2, 1);
 
   /** Requests of other first parts assumed at the start, when a few are no sample. */
   private static final int UNSEEN_REQUESTS = 64;
@@ -75,11 +69,12 @@
     List<UpstreamLoad> order = byWeight(Seniority.established(open, wallMillis), first.idHash());
     List<UpstreamLoad> joining = new ArrayList<>(open);
     joining.removeAll(order);
-    double bound = bound(open, !joining.isEmpty(), nowMillis);
+    LoadBound bound = prompt.sharedTokens() < CHEAP_TOKENS ? EVEN_BOUND : FIRM_BOUND;
+    double most = bound.requests(open, !joining.isEmpty(), nowMillis);
     int group = Math.min(order.size(), groupSize(first, order.size()));
-    return within(byWeight(order.subList(0, group), session), bound, nowMillis)
-        .or(() -> within(byWeight(joining, session), bound, nowMillis))
-        .or(() -> within(order.subList(group, order.size()), bound, nowMillis))
+    return within(byWeight(order.subList(0, group), session), most, nowMillis)
+        .or(() -> within(byWeight(joining, session), most, nowMillis))
+        .or(() -> within(byWeight(order.subList(group, order.size()), session), most, nowMillis))
         .or(() -> leastLoaded(open, nowMillis));
   }
 
@@ -112,15 +107,6 @@
     }
   }
 
-  private static double bound(List<UpstreamLoad> open, boolean joining, long nowMillis) {
-    int sum = 0;
-    for (UpstreamLoad engine : open) {
-      sum += engine.estimate(nowMillis);
-    }
-    double multiple = joining ? JOINING_LOAD_BOUND : LOAD_BOUND;
-    return multiple * sum / open.size() + LOAD_SLACK;
-  }
-
   private static Optional<UpstreamLoad> within(
       List<UpstreamLoad> order, double bound, long nowMillis) {
     for (UpstreamLoad engine : order) {
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/Prompt.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/Prompt.java
@@ -31,6 +31,12 @@
     return parts.isEmpty() ? "none" : Long.toHexString(affinityPart().idHash() & LABEL_MASK);
   }
 
+  /** Returns the tokens that an engine has to read which holds nothing of the session. */
+  int sharedTokens() {
+    int last = parts.size() < PARTS_WITH_OWN ? parts.size() : parts.size() - 1;
+    return parts.subList(0, last).stream().mapToInt(PromptPart::tokens).sum();
+  }
+
   /**
    * Returns the part by which requests are kept together: the one before the last, since the last
    * may be the request's own; with fewer than three parts the last.
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
@@ -1,6 +1,7 @@
 package org.ragworttide.coordination.placement;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -127,4 +128,40 @@
     }
     assertEquals(sent, 5);
   }
+
+  @Test
+  public void shortPromptsLeaveFullEngineBeforeLongOnes() {
+    List<UpstreamLoad> engines = PlacementFixture.engines(8);
+    engines.forEach(it -> it.reported(10, 0, NOW));
+    UpstreamLoad home = choose(new EnginePlacement(), PlacementFixture.prompt(1, 7, 1), engines);
+    UpstreamLoad shortHome = choose(new EnginePlacement(), shortPrompt(9), engines);
+    home.reported(16, 0, NOW);
+    shortHome.reported(16, 0, NOW);
+    assertEquals(
+        choose(new EnginePlacement(), PlacementFixture.prompt(1, 7, 2), engines).id(), home.id());
+    assertNotEquals(choose(new EnginePlacement(), shortPrompt(9), engines).id(), shortHome.id());
+  }
+
+  @Test
+  public void requestsOfFullSessionSpillToTheSameEngine() {
+    List<UpstreamLoad> engines = PlacementFixture.engines(8);
+    UpstreamLoad home = choose(new EnginePlacement(), PlacementFixture.prompt(1, 7, 1), engines);
+    home.reported(40, 0, NOW);
+    Set<UpstreamId> spilledTo = new HashSet<>();
+    for (int vm = 0; vm < 5; vm++) {
+      EnginePlacement placement = new EnginePlacement();
+      spilledTo.add(choose(placement, PlacementFixture.prompt(1, 7, vm), engines).id());
+    }
+    assertEquals(spilledTo.size(), 1);
+  }
+
+  private static Prompt shortPrompt(int session) {
+    return new Prompt(
+        List.of(
+            new PromptPart(session, 100),
+            new PromptPart(session + 100, 400),
+            new PromptPart(session + 200, 50)),
+        550,
+        200);
+  }
 }
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/PeerLoadsTest.java
@@ -0,0 +1,66 @@
+package org.ragworttide.coordination.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Map;
+import org.ragworttide.coordination.id.VmId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Sums what VMs tell each other, with statements lost, late, doubled and of restarted VMs. */
+public class PeerLoadsTest {
+  private static final VmId ONE = new VmId("one");
+  private static final VmId TWO = new VmId("two");
+
+  private PeerLoads loads;
+
+  /** Begins with nothing heard. */
+  @BeforeMethod
+  public void start() {
+    loads = new PeerLoads();
+  }
+
+  @Test
+  public void statementsOfDifferentVmsAddUp() {
+    loads.heard(ONE, 1, 1, Map.of(7, 3), 0);
+    loads.heard(TWO, 1, 1, Map.of(7, 2, 8, 1), 0);
+    assertEquals(loads.inFlight(7), 5);
+    assertEquals(loads.inFlight(8), 1);
+    assertEquals(loads.fleetSize(), 3);
+  }
+
+  @Test
+  public void newerStatementReplacesOlderOne() {
+    loads.heard(ONE, 1, 1, Map.of(7, 3), 0);
+    loads.heard(ONE, 1, 2, Map.of(8, 1), 0);
+    assertEquals(loads.inFlight(7), 0);
+    assertEquals(loads.inFlight(8), 1);
+  }
+
+  @Test
+  public void lateOrDoubledStatementChangesNothing() {
+    assertTrue(loads.heard(ONE, 1, 5, Map.of(7, 3), 0));
+    assertFalse(loads.heard(ONE, 1, 4, Map.of(7, 9), 0));
+    assertFalse(loads.heard(ONE, 1, 5, Map.of(7, 9), 0));
+    assertEquals(loads.inFlight(7), 3);
+  }
+
+  @Test
+  public void restartedVmReplacesItsEarlierRun() {
+    loads.heard(ONE, 1, 900, Map.of(7, 3), 0);
+    assertTrue(loads.heard(ONE, 2, 1, Map.of(), 0));
+    assertFalse(loads.heard(ONE, 1, 901, Map.of(7, 9), 0));
+    assertEquals(loads.inFlight(7), 0);
+  }
+
+  @Test
+  public void silentVmCountsNoMore() {
+    loads.heard(ONE, 1, 1, Map.of(7, 3), 0);
+    loads.heard(TWO, 1, 1, Map.of(7, 2), 1_500);
+    loads.expire(2_500);
+    assertEquals(loads.inFlight(7), 2);
+    assertEquals(loads.fleetSize(), 2);
+  }
+}
