Let engines fetch a session's prompt from where it was instead of reading it again

The engine before is found without a message: it is where the session would be placed among all engines still there.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -64,34 +64,68 @@
     if (prompt.parts().isEmpty()) {
       return leastLoaded(open, nowMillis);
     }
-    PromptPart first = prompt.parts().getFirst();
+    count(prompt.parts().getFirst());
     long session = prompt.affinityPart().idHash();
-    List<UpstreamLoad> order = byWeight(Seniority.established(open, wallMillis), first.idHash());
+    List<UpstreamLoad> order = order(prompt, open, wallMillis);
     List<UpstreamLoad> joining = new ArrayList<>(open);
     joining.removeAll(order);
     LoadBound bound = prompt.sharedTokens() < CHEAP_TOKENS ? EVEN_BOUND : FIRM_BOUND;
     double most = bound.requests(open, !joining.isEmpty(), nowMillis);
-    int group = Math.min(order.size(), groupSize(first, order.size()));
+    int group = groupSize(prompt.parts().getFirst(), order.size());
     return within(byWeight(order.subList(0, group), session), most, nowMillis)
         .or(() -> within(byWeight(joining, session), most, nowMillis))
         .or(() -> within(byWeight(order.subList(group, order.size()), session), most, nowMillis))
         .or(() -> leastLoaded(open, nowMillis));
   }
 
-  private int groupSize(PromptPart first, int engines) {
-    int count = demand.merge(first.idHash(), 1, Integer::sum);
+  /**
+   * Returns the engine from which the chosen one can fetch a session's prompt instead of reading it
+   * again, empty if none is likelier to hold it.
+   *
+   * <p>Answers the pattern of spills, replacements and evacuations. All VMs place alike, so the
+   * prompt is where it would be placed among all engines that are still there, those that leave or
+   * are taken out included.
+   *
+   * @param prompt the request's prompt
+   * @param chosen the engine that takes the request
+   * @param present all engines of the service that answer
+   * @param wallMillis Unix time in milliseconds, right to some seconds
+   */
+  public Optional<UpstreamLoad> holder(
+      Prompt prompt, UpstreamLoad chosen, List<UpstreamLoad> present, long wallMillis) {
+    if (prompt.parts().isEmpty() || present.isEmpty()) {
+      return Optional.empty();
+    }
+    List<UpstreamLoad> order = order(prompt, present, wallMillis);
+    int group = groupSize(prompt.parts().getFirst(), order.size());
+    return byWeight(order.subList(0, group), prompt.affinityPart().idHash()).stream()
+        .findFirst()
+        .filter(first -> first != chosen);
+  }
+
+  private static List<UpstreamLoad> order(
+      Prompt prompt, List<UpstreamLoad> engines, long wallMillis) {
+    long first = prompt.parts().getFirst().idHash();
+    return byWeight(Seniority.established(engines, wallMillis), first);
+  }
+
+  private void count(PromptPart first) {
+    demand.merge(first.idHash(), 1, Integer::sum);
     counted++;
-    double share = (double) count / (counted + UNSEEN_REQUESTS);
     if (counted >= DEMAND_WINDOW) {
       halveDemand();
     }
+  }
+
+  private int groupSize(PromptPart first, int engines) {
+    double share = (double) demand.getOrDefault(first.idHash(), 0) / (counted + UNSEEN_REQUESTS);
     double affordable = Math.min(1, CHEAP_TOKENS / Math.max(1, first.tokens()));
     double wanted = engines * Math.max(affordable, share * GROUP_HEADROOM);
     int group = SMALLEST_GROUP;
     while (group < wanted) {
       group *= 2;
     }
-    return group;
+    return Math.min(group, engines);
   }
 
   private void halveDemand() {
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.ragworttide.coordination.id.UpstreamId;
@@ -155,6 +156,35 @@
     assertEquals(spilledTo.size(), 1);
   }
 
+  @Test
+  public void sessionThatSpillsCanFetchFromItsEngine() {
+    List<UpstreamLoad> engines = PlacementFixture.engines(8);
+    EnginePlacement placement = new EnginePlacement();
+    Prompt prompt = PlacementFixture.prompt(1, 7, 1);
+    UpstreamLoad home = choose(placement, prompt, engines);
+    assertEquals(holder(placement, prompt, home, engines), Optional.empty());
+    home.reported(40, 0, NOW);
+    UpstreamLoad other = choose(placement, prompt, engines);
+    assertEquals(holder(placement, prompt, other, engines), Optional.of(home));
+  }
+
+  @Test
+  public void sessionOfLeavingEngineCanFetchFromIt() {
+    List<UpstreamLoad> present = PlacementFixture.engines(8);
+    EnginePlacement placement = new EnginePlacement();
+    Prompt prompt = PlacementFixture.prompt(1, 7, 1);
+    UpstreamLoad leaving = choose(placement, prompt, present);
+    List<UpstreamLoad> open = new ArrayList<>(present);
+    open.remove(leaving);
+    UpstreamLoad next = choose(placement, prompt, open);
+    assertEquals(holder(placement, prompt, next, present), Optional.of(leaving));
+  }
+
+  private static Optional<UpstreamLoad> holder(
+      EnginePlacement placement, Prompt prompt, UpstreamLoad chosen, List<UpstreamLoad> present) {
+    return placement.holder(prompt, chosen, present, PlacementFixture.WALL_MILLIS);
+  }
+
   private static Prompt shortPrompt(int session) {
     return new Prompt(
         List.of(
--- a/gateway/src/main/java/org/ragworttide/gateway/model/ServicePolicy.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/model/ServicePolicy.java
@@ -9,6 +9,7 @@
  * @param healthPath where an upstream's health is asked
  * @param maxConnections connections that an upstream accepts from all callers
  * @param engine whether the upstreams are model engines
+ * @param fetches whether an engine can fetch a prompt's memory from another
  */
 public record ServicePolicy(
-    ServiceName name, String healthPath, int maxConnections, boolean engine) {}
+    ServiceName name, String healthPath, int maxConnections, boolean engine, boolean fetches) {}
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -291,7 +291,12 @@
               .orElse(OptionalInt.of(route.priority()));
       ForwardedHead facts =
           new ForwardedHead(
-              id, left, organisation.map(Organisation::name), priority, answer.lastEventId());
+              id,
+              left,
+              organisation.map(Organisation::name),
+              priority,
+              answer.lastEventId(),
+              context.placement().holder(service, request.head().prompt(), upstream, sentAtMillis));
       HttpHeaders headers = context.dialect().toUpstream(request.http().headers(), facts);
       ByteBuf body = request.body().retainedDuplicate();
       if (body.isReadable() || request.http().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/ForwardedHead.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/ForwardedHead.java
@@ -1,5 +1,6 @@
 package org.ragworttide.gateway.relay;
 
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -15,10 +16,12 @@
  * @param organisation the organisation of the caller's key
  * @param priority the request's rank, 0 is the most urgent
  * @param resumeAfter the last event that the caller has, to continue a stream
+ * @param holder an engine from which the prompt's memory can be fetched
  */
 public record ForwardedHead(
     UpstreamId target,
     OptionalLong leftMillis,
     Optional<String> organisation,
     OptionalInt priority,
-    Optional<String> resumeAfter) {}
+    Optional<String> resumeAfter,
+    Optional<InetSocketAddress> holder) {}
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
@@ -1,7 +1,9 @@
 package org.ragworttide.gateway.relay;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,6 +16,7 @@
 import org.ragworttide.coordination.placement.ServicePlacement;
 import org.ragworttide.coordination.placement.UpstreamLoad;
 import org.ragworttide.gateway.model.ServiceName;
+import org.ragworttide.gateway.model.ServicePolicy;
 import org.ragworttide.gateway.upstream.Upstream;
 import org.ragworttide.gateway.view.FleetView;
 
@@ -51,6 +54,25 @@
     return chosen.flatMap(load -> candidates.stream().filter(it -> it.load() == load).findFirst());
   }
 
+  /** Returns the address of an engine that is likely to hold the prompt, if it isn't the chosen. */
+  Optional<InetSocketAddress> holder(
+      ServiceName service, Optional<Prompt> prompt, Upstream chosen, long nowMillis) {
+    if (prompt.isEmpty() || view.policy(service).filter(ServicePolicy::fetches).isEmpty()) {
+      return Optional.empty();
+    }
+    OutlierDetector detector = outliers(service);
+    Map<UpstreamLoad, Upstream> present = new LinkedHashMap<>();
+    for (Upstream upstream : view.present(service)) {
+      if (!detector.isOut(upstream.entry().id(), nowMillis)) {
+        present.put(upstream.load(), upstream);
+      }
+    }
+    return engines(service)
+        .holder(
+            prompt.get(), chosen.load(), List.copyOf(present.keySet()), System.currentTimeMillis())
+        .map(load -> present.get(load).entry().address());
+  }
+
   private List<Upstream> healthy(ServiceName service, Set<UpstreamId> tried, long nowMillis) {
     OutlierDetector detector = outliers(service);
     List<Upstream> untried = new ArrayList<>();
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -130,6 +130,11 @@
     return Collections.unmodifiableCollection(upstreams.values());
   }
 
+  /** Returns all upstreams of the service, those that leave or are taken out included. */
+  public List<Upstream> present(ServiceName service) {
+    return List.copyOf(byService.getOrDefault(service, List.of()));
+  }
+
   /** Returns the service's upstreams to which new requests may go. */
   public List<Upstream> open(ServiceName service) {
     List<Upstream> open = new ArrayList<>();
