--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -73,6 +73,8 @@
   PEER_HEARD(7201, Level.INFO, "VM %s heard at %s"),
   /** Another VM has been silent for long. */
   PEER_LOST(7202, Level.INFO, "VM at %s silent for %s ms"),
+  /** Lines of an event were left out to bound the log. */
+  LINES_LEFT_OUT(7008, Level.INFO, "%s lines of %s left out"),
   /** An upstream is known, or known to have changed. */
   UPSTREAM_PUT(7101, Level.INFO, "upstream %s of %s at %s, draining %s, cold for %s ms"),
   /** An upstream is gone. */
--- /dev/null
+++ b/daemon/src/test/java/org/ragworttide/daemon/log/QueueingHandlerTest.java
@@ -0,0 +1,51 @@
+package org.ragworttide.daemon.log;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.OutputStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.testng.annotations.Test;
+
+/** Logs to an output that doesn't take lines. */
+public class QueueingHandlerTest {
+  private static final int CAPACITY = 8;
+
+  /** An output whose first write waits until it is released. */
+  private static final class BlockedOutput extends OutputStream {
+    private final CountDownLatch reached = new CountDownLatch(1);
+    private final CountDownLatch released = new CountDownLatch(1);
+
+    @Override
+    public void write(int value) {
+      reached.countDown();
+      try {
+        released.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  private static LogRecord line(int number) {
+    LogRecord line = new LogRecord(Level.INFO, "line " + number);
+    line.setLoggerName("test");
+    return line;
+  }
+
+  @Test(timeOut = 60_000)
+  public void blockedOutputDelaysNoOneAndDroppedLinesAreCounted() throws InterruptedException {
+    BlockedOutput output = new BlockedOutput();
+    QueueingHandler handler = new QueueingHandler(output, new LogSetup.JsonForm(), CAPACITY);
+    handler.publish(line(0));
+    assertTrue(output.reached.await(30, TimeUnit.SECONDS));
+    for (int i = 0; i < 100; i++) {
+      handler.publish(line(i));
+    }
+    assertEquals(handler.dropped(), 100 - CAPACITY);
+    output.released.countDown();
+  }
+}
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -79,7 +79,7 @@
             connector,
             new Placement(view, settings.zone()),
             new RetryAllowances(settings.retryShare(), settings.retryReserve()),
-            new Telemetry(new MetricRegistry()),
+            new Telemetry(new MetricRegistry(), time),
             new SplittableRandom(),
             time.nowMillis() + FIRST_READ_MILLIS);
   }
