--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -69,10 +69,6 @@
   /** A request was placed on an upstream. */
   RELAY_PLACED(
       7007, Level.INFO, "request %s placed at %s, load %s, own %s, of %s upstreams, session %s"),
-  /** Another VM is heard of. */
-  PEER_HEARD(7201, Level.INFO, "VM %s heard at %s"),
-  /** Another VM has been silent for long. */
-  PEER_LOST(7202, Level.INFO, "VM at %s silent for %s ms"),
   /** Lines of an event were left out to bound the log. */
   LINES_LEFT_OUT(7008, Level.INFO, "%s lines of %s left out"),
   /** An upstream is known, or known to have changed. */
@@ -86,7 +82,11 @@
   /** The store can't be read. */
   STORE_LOST(7105, Level.WARN, "store unavailable: %s"),
   /** The store can be read again. */
-  STORE_REGAINED(7106, Level.INFO, "store read again at revision %s after %s ms");
+  STORE_REGAINED(7106, Level.INFO, "store read again at revision %s after %s ms"),
+  /** Another VM is heard of. */
+  PEER_HEARD(7201, Level.INFO, "VM %s heard at %s"),
+  /** Another VM has been silent for long. */
+  PEER_LOST(7202, Level.INFO, "VM at %s silent for %s ms");
 
   private final int number;
   private final Level level;
