Break ties between servers of a service at random

Cause of a path test that failed once: two idle servers expected to be equally quick, the first in the list took all requests. It would do so on every VM at once. Replayed in ServicePlacementTest.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/ServicePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/ServicePlacement.java
@@ -1,8 +1,8 @@
 package org.ragworttide.coordination.placement;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import org.ragworttide.coordination.id.ZoneId;
 
 /**
@@ -21,17 +21,35 @@
   /** Milliseconds expected at least, so that an upstream not heard of takes its turn, no more. */
   private static final double LEAST_DURATION_MILLIS = 5;
 
+  /** Milliseconds by which equal upstreams are told apart at random. */
+  private static final double TIE_MILLIS = 1;
+
   private final ZoneId ownZone;
+  private final SplittableRandom random;
 
-  /** Creates the placement of a VM in the zone. */
-  public ServicePlacement(ZoneId ownZone) {
+  /**
+   * Creates the placement of a VM.
+   *
+   * @param ownZone the VM's availability zone
+   * @param random breaks ties
+   */
+  public ServicePlacement(ZoneId ownZone, SplittableRandom random) {
     this.ownZone = ownZone;
+    this.random = random;
   }
 
   /** Chooses an upstream, empty if no candidate admits a request. */
   public Optional<UpstreamLoad> choose(List<UpstreamLoad> candidates, long nowMillis) {
-    return Warmth.preferWarm(candidates, nowMillis).stream()
-        .min(Comparator.comparingDouble(upstream -> expectedMillis(upstream, nowMillis)));
+    UpstreamLoad best = null;
+    double least = Double.MAX_VALUE;
+    for (UpstreamLoad upstream : Warmth.preferWarm(candidates, nowMillis)) {
+      double expected = expectedMillis(upstream, nowMillis) + random.nextDouble(TIE_MILLIS);
+      if (expected < least) {
+        least = expected;
+        best = upstream;
+      }
+    }
+    return Optional.ofNullable(best);
   }
 
   private double expectedMillis(UpstreamLoad upstream, long nowMillis) {
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/ServicePlacementTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/ServicePlacementTest.java
@@ -4,13 +4,15 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.SplittableRandom;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.testng.annotations.Test;
 
 /** Replays load patterns before the placement on plain services. */
 public class ServicePlacementTest {
-  private final ServicePlacement placement = new ServicePlacement(new ZoneId("near"));
+  private final ServicePlacement placement =
+      new ServicePlacement(new ZoneId("near"), new SplittableRandom(20261204));
 
   private static UpstreamLoad server(String name, String zone) {
     return new UpstreamLoad(new UpstreamId(name), new ZoneId(zone), 6, 0, new PeerLoads());
@@ -27,6 +29,17 @@
     assertEquals(choose(List.of(far, near)), near);
   }
 
+  @Test
+  public void equalServersTakeTurns() {
+    UpstreamLoad one = server("a", "near");
+    UpstreamLoad two = server("b", "near");
+    int first = 0;
+    for (int i = 0; i < 100; i++) {
+      first += choose(List.of(one, two)) == one ? 1 : 0;
+    }
+    assertTrue(first > 20 && first < 80, "first chosen " + first + " times");
+  }
+
   @Test
   public void burstIsSharedWithOtherZones() {
     List<UpstreamLoad> servers =
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.placement.EnginePlacement;
@@ -35,7 +36,7 @@
   /** Creates the placement of a VM in the zone. */
   public Placement(FleetView view, ZoneId ownZone) {
     this.view = view;
-    this.services = new ServicePlacement(ownZone);
+    this.services = new ServicePlacement(ownZone, new SplittableRandom());
   }
 
   /** Returns the service's record of failures. */
