--- a/coordination/src/main/java/org/ragworttide/coordination/placement/OutlierDetector.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/OutlierDetector.java
@@ -65,6 +65,14 @@
     takeOut(record(upstream), nowMillis);
   }
 
+  /**
+   * Notes that another upstream answers at the upstream's address: it is gone, though its entry may
+   * stand for seconds.
+   */
+  public void misdirected(UpstreamId upstream, long nowMillis) {
+    takeOut(record(upstream), nowMillis);
+  }
+
   /** Tells whether the upstream is out. */
   public boolean isOut(UpstreamId upstream, long nowMillis) {
     Record known = records.get(upstream);
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/OutlierDetectorTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/OutlierDetectorTest.java
@@ -60,6 +60,12 @@
     assertTrue(out(13, shares, 200) < 13 * 200 / 10);
   }
 
+  @Test
+  public void upstreamWhoseAddressAnswersForAnotherIsOutAtOnce() {
+    detector.misdirected(id(0), 0);
+    assertTrue(detector.isOut(id(0), 900));
+  }
+
   @Test
   public void unreachableUpstreamIsOutAtOnceAndTriedAgain() {
     detector.unreachable(id(0), 0);
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import org.ragworttide.coordination.hash.Rendezvous;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.placement.OutlierDetector;
 import org.ragworttide.coordination.placement.Prompt;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.gateway.model.Organisation;
@@ -432,6 +433,13 @@
       possibleRuns--;
       attempts--;
       answer.reset();
+      long now = context.time().nowMillis();
+      OutlierDetector outliers = context.placement().outliers(service);
+      if (status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+        outliers.misdirected(id, now);
+      } else {
+        outliers.failed(id, now);
+      }
       context
           .telemetry()
           .attemptFailed(request.head().id(), id, "not run, " + status, elapsedMillis());
