End a stream as broken when its continuation fails; share the retries' slack by the fleet's size

An answer to a continuation was judged by the status of the first run: a 500 would have ended the stream as whole (streamWhoseContinuationFailsIsCutForItsCaller, seen failing). A fixed twelfth of the slack would add up to 1,232 retries on 77 VMs against a slack of 194 (RetryAllowancesTest).

--- a/coordination/src/main/java/org/ragworttide/coordination/retry/RetryBudget.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/retry/RetryBudget.java
@@ -8,7 +8,7 @@
  */
 public final class RetryBudget {
   private final double share;
-  private final double reserve;
+  private double reserve;
   private double tokens;
 
   /**
@@ -26,6 +26,15 @@
     this.tokens = reserve;
   }
 
+  /** Changes how many retries may be saved up; what is saved beyond that is lost. */
+  public synchronized void reserve(int retries) {
+    if (retries < 0) {
+      throw new IllegalArgumentException("reserve must not be negative");
+    }
+    reserve = retries;
+    tokens = Math.min(tokens, reserve);
+  }
+
   /** Notes a first attempt. */
   public synchronized void attempted() {
     tokens = Math.min(reserve, tokens + share);
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -36,6 +36,9 @@
   /** Milliseconds between looks at idle connections: idle limits are many seconds. */
   private static final long IDLE_CHECK_MILLIS = 500;
 
+  /** Milliseconds between looks at the fleet's size, which sets a VM's part of the slack. */
+  private static final long FLEET_CHECK_MILLIS = 1_000;
+
   /** Milliseconds after a stop for which new connections may come: two missed health checks. */
   private static final long STILL_ARRIVING_MILLIS = 2_000;
 
@@ -78,7 +81,7 @@
             dialect,
             connector,
             new Placement(view, settings.zone()),
-            new RetryAllowances(settings.retryShare(), settings.retryReserve()),
+            new RetryAllowances(settings.retryRatio(), settings.retrySlack()),
             new Telemetry(new MetricRegistry(), time),
             new SplittableRandom(),
             time.nowMillis() + FIRST_READ_MILLIS);
@@ -107,6 +110,7 @@
         .start(loop, loops.onChannelClass(DatagramChannel.class, loop));
     serveReadiness();
     settings.metrics().ifPresent(this::serveMetrics);
+    time.every(FLEET_CHECK_MILLIS, () -> context.retries().fleetSize(view.peers().fleetSize()));
     time.every(
         IDLE_CHECK_MILLIS,
         () -> connections.closeIdle(time.nowMillis(), view.limits().idleTimeoutMillis()));
--- a/gateway/src/main/java/org/ragworttide/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/GatewaySettings.java
@@ -18,8 +18,8 @@
  * @param peers where other VMs tell their load
  * @param seeds addresses of some VMs, which may be gone
  * @param metrics where metrics are served, if they are
- * @param retryShare retries that the fleet may send for one request
- * @param retryReserve retries beyond the share that this VM may save up
+ * @param retryRatio retries that the fleet may send for one request
+ * @param retrySlack retries beyond that, over all VMs
  * @param graceMillis how long a stop may take
  */
 public record GatewaySettings(
@@ -30,14 +30,14 @@
     InetSocketAddress peers,
     List<InetSocketAddress> seeds,
     Optional<InetSocketAddress> metrics,
-    double retryShare,
-    int retryReserve,
+    double retryRatio,
+    int retrySlack,
     long graceMillis) {
 
   /** Checks the ranges. */
   public GatewaySettings {
     seeds = List.copyOf(seeds);
-    if (graceMillis <= 0 || retryReserve < 0 || !(retryShare >= 0 && retryShare <= 1)) {
+    if (graceMillis <= 0 || retrySlack < 0 || !(retryRatio >= 0 && retryRatio <= 1)) {
       throw new IllegalArgumentException("settings of the gateway are out of range");
     }
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -249,6 +249,7 @@
     private UpstreamConnection connection;
     private TimerService.Subscription silence = () -> {};
     private AnswerHead head;
+    private HttpResponseStatus status;
     private long sentAtMillis;
     private boolean ended;
 
@@ -368,6 +369,7 @@
     @Override
     public void answered(HttpResponse response, AnswerHead answered) {
       head = answered;
+      status = response.status();
       answered
           .load()
           .ifPresent(
@@ -389,12 +391,20 @@
     }
 
     private boolean isPassable() {
-      return !head.notRun() && !isUnsealedSuccess();
+      return !head.notRun() && !isUnsealedSuccess() && !isFailedContinuation();
     }
 
     private boolean isUnsealedSuccess() {
-      boolean success = answer.head().status().codeClass() == HttpStatusClass.SUCCESS;
-      return success && (!head.sealed() || head.encoded());
+      return isSuccess() && (!head.sealed() || head.encoded());
+    }
+
+    /** The caller has the head of a success already: no other answer may follow it. */
+    private boolean isFailedContinuation() {
+      return answer.isBegun() && !isSuccess();
+    }
+
+    private boolean isSuccess() {
+      return status.codeClass() == HttpStatusClass.SUCCESS;
     }
 
     @Override
@@ -403,13 +413,14 @@
         return;
       }
       end();
-      HttpResponseStatus status = answer.head().status();
       if (head.notRun() || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
-        notRun(status);
+        notRun();
       } else if (isUnsealedSuccess()) {
         failed("success without receipt");
-      } else if (status.codeClass() == HttpStatusClass.SERVER_ERROR || isPromise(status)) {
-        serverError(status);
+      } else if (isFailedContinuation()) {
+        failed("continuation answered " + status);
+      } else if (status.codeClass() == HttpStatusClass.SERVER_ERROR || isPromise()) {
+        serverError();
       } else {
         deliver();
       }
@@ -423,13 +434,11 @@
       outcome(true, "");
       long now = context.time().nowMillis();
       upstream.load().answeredAfter(now - sentAtMillis, now);
-      context
-          .telemetry()
-          .answered(request.head().id(), answer.head().status().code(), id, elapsedMillis());
+      context.telemetry().answered(request.head().id(), status.code(), id, elapsedMillis());
       finish();
     }
 
-    private void notRun(HttpResponseStatus status) {
+    private void notRun() {
       possibleRuns--;
       attempts--;
       answer.reset();
@@ -451,13 +460,13 @@
       }
     }
 
-    private boolean isPromise(HttpResponseStatus status) {
+    private boolean isPromise() {
       return status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
           || status.equals(HttpResponseStatus.REQUEST_TIMEOUT);
     }
 
-    private void serverError(HttpResponseStatus status) {
-      boolean promise = isPromise(status) || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    private void serverError() {
+      boolean promise = isPromise() || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
       outcome(false, "answered " + status);
       if (canTryAgain()) {
         answer.reset();
--- a/gateway/src/main/java/org/ragworttide/gateway/settings/SettingsDocument.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/settings/SettingsDocument.java
@@ -30,15 +30,6 @@
     double graceSeconds) {
   private static final double MILLIS_PER_SECOND = 1_000;
 
-  /**
-   * VMs among which the fleet's slack of retries is shared: more than stand before either
-   * customer's upstreams, spares included.
-   */
-  private static final int SLACK_SHARES = 12;
-
-  /** Share of the fleet's ratio that is used, so that a window's edges cannot exceed it. */
-  private static final double RATIO_USED = 0.9;
-
   /** Checks the ranges. */
   public SettingsDocument {
     if (!(graceSeconds > 0)) {
@@ -114,8 +105,8 @@
         address(peers.listen()),
         peers.seedAddresses(),
         Optional.ofNullable(listen.metrics()).map(SettingsDocument::address),
-        retries.ratio() * RATIO_USED,
-        retries.slack() / SLACK_SHARES,
+        retries.ratio(),
+        retries.slack(),
         (long) (graceSeconds * MILLIS_PER_SECOND));
   }
 
