--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -197,7 +197,7 @@
       return;
     }
     if (attempt != null) {
-      attempt.stop(route.kind().isRepeatable() || route.kind().isStream());
+      attempt.expire();
     }
     if (answer.isBegun()) {
       abort("time is up");
@@ -321,6 +321,14 @@
       }
     }
 
+    /** Gives the attempt up, since the time is up: an upstream that was silent has failed. */
+    private void expire() {
+      if (!ended && connection != null && head == null) {
+        outcome(false, "no answer until the time was up");
+      }
+      stop(route.kind().isRepeatable() || route.kind().isStream());
+    }
+
     private void stop(boolean cancel) {
       if (ended) {
         return;
