--- a/gateway/src/main/java/org/ragworttide/gateway/Dialect.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Dialect.java
@@ -3,10 +3,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import org.ragworttide.gateway.model.ServicePolicy;
 import org.ragworttide.gateway.relay.AnswerHead;
 import org.ragworttide.gateway.relay.ForwardedHead;
-import org.ragworttide.gateway.relay.HealthAnswer;
 import org.ragworttide.gateway.relay.RequestHead;
 
 /**
@@ -29,7 +27,4 @@
 
   /** Returns what an upstream's answer says of itself. */
   AnswerHead readAnswer(HttpResponse response);
-
-  /** Returns what an upstream's answer to a health check says. */
-  HealthAnswer readHealth(HttpResponse response, ServicePolicy service);
 }
--- a/gateway/src/test/java/org/ragworttide/gateway/PlainDialect.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/PlainDialect.java
@@ -5,10 +5,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.ragworttide.gateway.model.ServicePolicy;
 import org.ragworttide.gateway.relay.AnswerHead;
 import org.ragworttide.gateway.relay.ForwardedHead;
-import org.ragworttide.gateway.relay.HealthAnswer;
 import org.ragworttide.gateway.relay.RequestHead;
 
 /** A dialect for tests: the headers id, key, deadline, receipt and not-run; stateless. */
@@ -43,10 +41,4 @@
         headers.contains("content-encoding"),
         Optional.empty());
   }
-
-  @Override
-  public HealthAnswer readHealth(HttpResponse response, ServicePolicy service) {
-    return new HealthAnswer(
-        response.status().code() == 200, Optional.empty(), OptionalLong.empty());
-  }
 }
