--- a/gateway/src/main/java/org/ragworttide/gateway/relay/CallerRequest.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/CallerRequest.java
@@ -1,7 +1,12 @@
 package org.ragworttide.gateway.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
 
 /**
  * A caller's request, whole.
@@ -14,4 +19,20 @@
  * @param receivedAtMillis when its head was in
  */
 public record CallerRequest(
-    HttpRequest http, RequestHead head, ByteBuf body, long receivedAtMillis) {}
+    HttpRequest http, RequestHead head, ByteBuf body, long receivedAtMillis) {
+
+  /** Returns the request for an upstream, with the headers given and a share of the body. */
+  FullHttpRequest forwarded(HttpHeaders headers) {
+    ByteBuf copy = body.retainedDuplicate();
+    if (copy.isReadable() || http.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, copy.readableBytes());
+    }
+    return new DefaultFullHttpRequest(
+        HttpVersion.HTTP_1_1,
+        http.method(),
+        http.uri(),
+        copy,
+        headers,
+        HttpHeaders.EMPTY_HEADERS.copy());
+  }
+}
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -1,19 +1,13 @@
 package org.ragworttide.gateway.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -41,9 +35,6 @@
   /** Connections that are tried before the request is refused. */
   private static final int MAX_UNREACHABLE = 3;
 
-  /** Milliseconds after which a refused caller is asked to return: about one failure detection. */
-  private static final long RETURN_MILLIS = 250;
-
   /** Multiple of the latency objective after which a silent upstream is given up for another. */
   private static final double SILENCE_FACTOR = 1.5;
 
@@ -208,16 +199,7 @@
 
   private void refuse(Refusal refusal, String cause) {
     context.telemetry().refused(request.head().id(), refusal, cause, elapsedMillis());
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, refusal.status(), Unpooled.EMPTY_BUFFER);
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-    if (refusal.isReturnable()) {
-      long millis = RETURN_MILLIS / 2 + context.random().nextLong(RETURN_MILLIS);
-      response
-          .headers()
-          .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", millis / 1_000.0));
-    }
-    caller.respond(response);
+    caller.respond(RefusalResponse.of(refusal, context.random()));
     finish();
   }
 
@@ -299,18 +281,7 @@
               priority,
               answer.lastEventId(),
               context.placement().holder(service, request.head().prompt(), upstream, sentAtMillis));
-      HttpHeaders headers = context.dialect().toUpstream(request.http().headers(), facts);
-      ByteBuf body = request.body().retainedDuplicate();
-      if (body.isReadable() || request.http().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-        headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-      }
-      return new DefaultFullHttpRequest(
-          HttpVersion.HTTP_1_1,
-          request.http().method(),
-          request.http().uri(),
-          body,
-          headers,
-          HttpHeaders.EMPTY_HEADERS.copy());
+      return request.forwarded(context.dialect().toUpstream(request.http().headers(), facts));
     }
 
     private void silent() {
