--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -68,7 +68,9 @@
   RELAY_BAD_REQUEST(7006, Level.INFO, "bad request answered %s: %s"),
   /** A request was placed on an upstream. */
   RELAY_PLACED(
-      7007, Level.INFO, "request %s placed at %s, load %s, own %s, of %s upstreams, session %s"),
+      7007,
+      Level.INFO,
+      "request %s placed at %s, load %s, own %s, of %s upstreams, session %s, prompt %s from %s"),
   /** Lines of an event were left out to bound the log. */
   LINES_LEFT_OUT(7008, Level.INFO, "%s lines of %s left out"),
   /** An upstream is known, or known to have changed. */
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -109,8 +109,9 @@
   }
 
   /**
-   * Starts all that a caller does not wait for: statements between VMs, readiness and metrics. Apart
-   * from {@link #start}, so that after a restart callers are served a tenth of a second sooner.
+   * Starts all that a caller does not wait for: statements between VMs, readiness and metrics.
+   * Apart from {@link #start}, so that after a restart callers are served a tenth of a second
+   * sooner.
    */
   public void startAncillary() {
     new PeerExchange(settings.vm(), settings.peers(), settings.seeds(), view, time)
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -153,15 +154,11 @@
       giveUp("no upstream of service " + service + " can take it");
       return;
     }
-    context
-        .telemetry()
-        .placed(
-            request.head().id(),
-            chosen.get().load(),
-            context.view().open(service).size(),
-            now,
-            request.head().prompt().map(Prompt::sessionLabel).orElse("none"));
-    attempt = new Attempt(chosen.get());
+    Optional<Prompt> prompt = request.head().prompt();
+    Optional<Upstream> holder = context.placement().holder(service, prompt, chosen.get(), now);
+    int open = context.view().open(service).size();
+    context.telemetry().placed(request.head().id(), chosen.get().load(), open, now, prompt, holder);
+    attempt = new Attempt(chosen.get(), holder.map(it -> it.entry().address()));
     attempt.begin();
   }
 
@@ -228,6 +225,7 @@
   private final class Attempt implements AttemptListener {
     private final Upstream upstream;
     private final UpstreamId id;
+    private final Optional<InetSocketAddress> holder;
     private UpstreamConnection connection;
     private TimerService.Subscription silence = () -> {};
     private AnswerHead head;
@@ -235,8 +233,9 @@
     private long sentAtMillis;
     private boolean ended;
 
-    private Attempt(Upstream upstream) {
+    private Attempt(Upstream upstream, Optional<InetSocketAddress> holder) {
       this.upstream = upstream;
+      this.holder = holder;
       this.id = upstream.entry().id();
     }
 
@@ -280,7 +279,7 @@
               organisation.map(Organisation::name),
               priority,
               answer.lastEventId(),
-              context.placement().holder(service, request.head().prompt(), upstream, sentAtMillis));
+              holder);
       return request.forwarded(context.dialect().toUpstream(request.http().headers(), facts));
     }
 
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
@@ -1,6 +1,5 @@
 package org.ragworttide.gateway.relay;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -55,8 +54,8 @@
     return chosen.flatMap(load -> candidates.stream().filter(it -> it.load() == load).findFirst());
   }
 
-  /** Returns the address of an engine that is likely to hold the prompt, if it isn't the chosen. */
-  Optional<InetSocketAddress> holder(
+  /** Returns an engine that is likely to hold the prompt, if it isn't the chosen. */
+  Optional<Upstream> holder(
       ServiceName service, Optional<Prompt> prompt, Upstream chosen, long nowMillis) {
     if (prompt.isEmpty() || view.policy(service).filter(ServicePolicy::fetches).isEmpty()) {
       return Optional.empty();
@@ -71,7 +70,7 @@
     return engines(service)
         .holder(
             prompt.get(), chosen.load(), List.copyOf(present.keySet()), System.currentTimeMillis())
-        .map(load -> present.get(load).entry().address());
+        .map(present::get);
   }
 
   private List<Upstream> healthy(ServiceName service, Set<UpstreamId> tried, long nowMillis) {
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
@@ -3,12 +3,15 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.placement.Prompt;
 import org.ragworttide.coordination.placement.UpstreamLoad;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
+import org.ragworttide.gateway.upstream.Upstream;
 
 /**
  * Counts and logs what happens to requests. Lines are bounded for each event, those of served
@@ -41,7 +44,13 @@
     return metrics;
   }
 
-  void placed(String requestId, UpstreamLoad load, int open, long nowMillis, String session) {
+  void placed(
+      String requestId,
+      UpstreamLoad load,
+      int open,
+      long nowMillis,
+      Optional<Prompt> prompt,
+      Optional<Upstream> holder) {
     log(
         LogEvent.RELAY_PLACED,
         requestId,
@@ -49,7 +58,9 @@
         load.estimate(nowMillis),
         load.inFlight(),
         open,
-        session);
+        prompt.map(Prompt::sessionLabel).orElse("none"),
+        prompt.map(Prompt::inputTokens).orElse(0),
+        holder.map(it -> it.entry().id().value()).orElse("none"));
   }
 
   void refused(String requestId, Refusal refusal, String cause, long afterMillis) {
