Keep prompts where engines are known to hold them, and let two engines share a session

Change: VMs remember which engine was sent which parts and tell each other what is new, 10 bytes a part; a session stays with its holders, the second in another zone; fetches go to a known holder, also for a first part.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -7,16 +7,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.ragworttide.coordination.id.ZoneId;
 
 /**
  * Places requests on model engines so that shared prompt parts are read on few of them.
  *
- * <p>Answers two patterns: many sessions over a few long first parts, where placement by session
- * alone reads each first part on every engine; and a hot session, which must not fill its engine.
- * The first part names a group of engines by rendezvous hashing: the longer it is the fewer, but as
- * many as its share of requests needs; the part of the session names the engine in the group. An
- * engine above the load bound is passed over for the next in the same order, so that all VMs spill
- * to the same engines.
+ * <p>Answers these patterns: many sessions over a few long first parts, where placement by session
+ * alone reads each first part on every engine; a hot session, which must not fill its engine; and
+ * engines that crash, leave or return without what they held. The first part names a group of
+ * engines by rendezvous hashing: the longer it is the fewer, but as many as its share of requests
+ * needs; the part of the session names the engine in the group. A session known to be in an
+ * engine's memory goes there instead, or to its second engine, in another availability zone, which
+ * fetches the prompt once: the two share its load, spare bytes between zones and survive each
+ * other's loss. An engine above the load bound is passed over for the next in the same order, so
+ * that all VMs spill to the same engines.
  *
  * <p>Invariant: the chosen engine is a candidate and, if any candidate is within the bound, is
  * within it itself. Confined to one thread.
@@ -43,9 +47,31 @@
   /** First parts counted before all counts are halved. */
   private static final int DEMAND_WINDOW = 512;
 
+  /** Requests that a choice in another zone must save: a body between zones costs as much. */
+  private static final int OTHER_ZONE_REQUESTS = 2;
+
+  /** Requests that a choice must save which has to fetch the prompt first. */
+  private static final int FETCH_REQUESTS = 4;
+
+  /** Engines that share a session's load while none of them is full. */
+  private static final int SHARING_ENGINES = 2;
+
+  private final ZoneId ownZone;
+  private final PromptIndex index;
   private final Map<Long, Integer> demand = new HashMap<>();
   private int counted;
 
+  /**
+   * Creates the placement of a VM.
+   *
+   * @param ownZone the VM's availability zone
+   * @param index which engines hold which parts
+   */
+  public EnginePlacement(ZoneId ownZone, PromptIndex index) {
+    this.ownZone = ownZone;
+    this.index = index;
+  }
+
   /**
    * Chooses an engine.
    *
@@ -65,48 +91,114 @@
       return leastLoaded(open, nowMillis);
     }
     count(prompt.parts().getFirst());
-    long session = prompt.affinityPart().idHash();
     List<UpstreamLoad> order = order(prompt, open, wallMillis);
+    boolean joining = order.size() < open.size();
+    LoadBound bound = prompt.sharedTokens() < CHEAP_TOKENS ? EVEN_BOUND : FIRM_BOUND;
+    double most = bound.requests(open, joining, nowMillis);
+    return shared(prompt, open, order, most, nowMillis)
+        .or(() -> within(spillOrder(prompt, open, order), most, nowMillis))
+        .or(() -> leastLoaded(open, nowMillis));
+  }
+
+  /** Chooses among the engines that hold the session's prompt and those that should. */
+  private Optional<UpstreamLoad> shared(
+      Prompt prompt,
+      List<UpstreamLoad> open,
+      List<UpstreamLoad> order,
+      double most,
+      long nowMillis) {
+    List<UpstreamLoad> sharing = new ArrayList<>();
+    for (UpstreamLoad engine : open) {
+      if (index.holds(prompt.affinityPart(), engine, nowMillis)) {
+        sharing.add(engine);
+      }
+    }
+    if (sharing.isEmpty()) {
+      return Optional.empty();
+    }
+    if (sharing.size() < SHARING_ENGINES) {
+      secondOf(sharing.getFirst(), order).ifPresent(sharing::add);
+    }
+    return sharing.stream()
+        .filter(engine -> engine.estimate(nowMillis) + 1 <= most)
+        .min(Comparator.comparingInt(engine -> cost(prompt, engine, nowMillis)));
+  }
+
+  private int cost(Prompt prompt, UpstreamLoad engine, long nowMillis) {
+    int cost = engine.estimate(nowMillis);
+    if (!engine.zone().equals(ownZone)) {
+      cost += OTHER_ZONE_REQUESTS;
+    }
+    return index.holds(prompt.affinityPart(), engine, nowMillis) ? cost : cost + FETCH_REQUESTS;
+  }
+
+  /** Returns the first engine in another zone than the holder's or, if there is none, the next. */
+  private static Optional<UpstreamLoad> secondOf(UpstreamLoad holder, List<UpstreamLoad> order) {
+    return order.stream()
+        .filter(engine -> !engine.zone().equals(holder.zone()))
+        .findFirst()
+        .or(() -> order.stream().filter(engine -> engine != holder).findFirst());
+  }
+
+  /** Returns all engines: those of the session's order, the joining ones behind its group. */
+  private List<UpstreamLoad> spillOrder(
+      Prompt prompt, List<UpstreamLoad> open, List<UpstreamLoad> order) {
     List<UpstreamLoad> joining = new ArrayList<>(open);
     joining.removeAll(order);
-    LoadBound bound = prompt.sharedTokens() < CHEAP_TOKENS ? EVEN_BOUND : FIRM_BOUND;
-    double most = bound.requests(open, !joining.isEmpty(), nowMillis);
     int group = groupSize(prompt.parts().getFirst(), order.size());
-    return within(byWeight(order.subList(0, group), session), most, nowMillis)
-        .or(() -> within(byWeight(joining, session), most, nowMillis))
-        .or(() -> within(byWeight(order.subList(group, order.size()), session), most, nowMillis))
-        .or(() -> leastLoaded(open, nowMillis));
+    List<UpstreamLoad> all = new ArrayList<>(order.subList(0, group));
+    all.addAll(byWeight(joining, prompt.affinityPart().idHash()));
+    all.addAll(order.subList(group, order.size()));
+    return all;
   }
 
   /**
    * Returns the engine from which the chosen one can fetch a session's prompt instead of reading it
    * again, empty if none is likelier to hold it.
    *
-   * <p>Answers the pattern of spills, replacements and evacuations. All VMs place alike, so the
-   * prompt is where it would be placed among all engines that are still there, those that leave or
-   * are taken out included.
+   * <p>Answers the pattern of spills, replacements and evacuations. What is known to be held goes
+   * first. Else, as all VMs place alike, the prompt is where it would be placed among all engines
+   * that are still there, those that leave or are taken out included.
    *
    * @param prompt the request's prompt
    * @param chosen the engine that takes the request
    * @param present all engines of the service that answer
+   * @param nowMillis the time
    * @param wallMillis Unix time in milliseconds, right to some seconds
    */
   public Optional<UpstreamLoad> holder(
-      Prompt prompt, UpstreamLoad chosen, List<UpstreamLoad> present, long wallMillis) {
-    if (prompt.parts().isEmpty() || present.isEmpty()) {
+      Prompt prompt,
+      UpstreamLoad chosen,
+      List<UpstreamLoad> present,
+      long nowMillis,
+      long wallMillis) {
+    if (prompt.parts().isEmpty()
+        || present.isEmpty()
+        || index.holds(prompt.affinityPart(), chosen, nowMillis)) {
       return Optional.empty();
     }
-    List<UpstreamLoad> order = order(prompt, present, wallMillis);
-    int group = groupSize(prompt.parts().getFirst(), order.size());
-    return byWeight(order.subList(0, group), prompt.affinityPart().idHash()).stream()
-        .findFirst()
-        .filter(first -> first != chosen);
+    return holding(prompt.affinityPart(), chosen, present, nowMillis)
+        .or(() -> order(prompt, present, wallMillis).stream().findFirst())
+        .filter(engine -> engine != chosen)
+        .or(() -> holding(prompt.parts().getFirst(), chosen, present, nowMillis));
+  }
+
+  private Optional<UpstreamLoad> holding(
+      PromptPart part, UpstreamLoad chosen, List<UpstreamLoad> present, long nowMillis) {
+    return present.stream()
+        .filter(engine -> engine != chosen && index.holds(part, engine, nowMillis))
+        .min(Comparator.comparingInt(engine -> engine.estimate(nowMillis)));
   }
 
-  private static List<UpstreamLoad> order(
-      Prompt prompt, List<UpstreamLoad> engines, long wallMillis) {
-    long first = prompt.parts().getFirst().idHash();
-    return byWeight(Seniority.established(engines, wallMillis), first);
+  /** Returns the established engines in the session's order, those of its group first. */
+  private List<UpstreamLoad> order(Prompt prompt, List<UpstreamLoad> engines, long wallMillis) {
+    PromptPart first = prompt.parts().getFirst();
+    long session = prompt.affinityPart().idHash();
+    List<UpstreamLoad> all = byWeight(Seniority.established(engines, wallMillis), first.idHash());
+    int group = groupSize(first, all.size());
+    List<UpstreamLoad> order = new ArrayList<>(byWeight(all.subList(0, group), session));
+    order.addAll(byWeight(all.subList(group, all.size()), session));
+    return order;
   }
 
   private void count(PromptPart first) {
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/Prompt.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/Prompt.java
@@ -33,8 +33,12 @@
 
   /** Returns the tokens that an engine has to read which holds nothing of the session. */
   int sharedTokens() {
-    int last = parts.size() < PARTS_WITH_OWN ? parts.size() : parts.size() - 1;
-    return parts.subList(0, last).stream().mapToInt(PromptPart::tokens).sum();
+    return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
+  }
+
+  /** Returns the parts that other requests may share: all but one that may be the request's own. */
+  List<PromptPart> sharedParts() {
+    return parts.size() < PARTS_WITH_OWN ? parts : parts.subList(0, parts.size() - 1);
   }
 
   /**
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
@@ -26,7 +26,7 @@
 
   @Test
   public void sessionKeepsItsEngineWhateverItsRequestsOwnPart() {
-    EnginePlacement placement = new EnginePlacement();
+    EnginePlacement placement = PlacementFixture.placement();
     List<UpstreamLoad> engines = PlacementFixture.engines(13);
     Set<UpstreamId> chosen = new HashSet<>();
     for (int request = 0; request < 50; request++) {
@@ -41,12 +41,12 @@
   @Test
   public void vmsThatSeeDifferentShareOfTrafficChooseTheSameEngine() {
     List<UpstreamLoad> engines = PlacementFixture.engines(13);
-    EnginePlacement busy = new EnginePlacement();
+    EnginePlacement busy = PlacementFixture.placement();
     SplittableRandom random = new SplittableRandom(20261204);
     for (int i = 0; i < 400; i++) {
       choose(busy, PlacementFixture.prompt(random.nextInt(60), random.nextInt(300), i), engines);
     }
-    EnginePlacement fresh = new EnginePlacement();
+    EnginePlacement fresh = PlacementFixture.placement();
     for (int session = 0; session < 100; session++) {
       Prompt prompt = PlacementFixture.prompt(session % 4, session, session);
       assertEquals(choose(fresh, prompt, engines).id(), choose(busy, prompt, engines).id());
@@ -55,7 +55,7 @@
 
   @Test
   public void firstPartOfManySessionsIsReadOnFewEngines() {
-    EnginePlacement placement = new EnginePlacement();
+    EnginePlacement placement = PlacementFixture.placement();
     List<UpstreamLoad> engines = PlacementFixture.engines(13);
     Set<UpstreamId> chosen = new HashSet<>();
     for (int session = 0; session < 200; session++) {
@@ -70,7 +70,7 @@
 
   @Test
   public void hotSessionSpillsBeforeItsEngineExceedsTheBound() {
-    EnginePlacement placement = new EnginePlacement();
+    EnginePlacement placement = PlacementFixture.placement();
     List<UpstreamLoad> engines = PlacementFixture.engines(13);
     Map<UpstreamId, Integer> load = new HashMap<>();
     for (int request = 0; request < 130; request++) {
@@ -84,8 +84,8 @@
 
   @Test
   public void joiningEnginesLeaveSessionsWhereTheirPromptsAre() {
-    EnginePlacement alone = new EnginePlacement();
-    EnginePlacement joined = new EnginePlacement();
+    EnginePlacement alone = PlacementFixture.placement();
+    EnginePlacement joined = PlacementFixture.placement();
     List<UpstreamLoad> before = PlacementFixture.engines(13);
     List<UpstreamLoad> after = new ArrayList<>(before);
     for (int i = 0; i < 3; i++) {
@@ -105,13 +105,14 @@
     engines.get(0).reported(300, 0, NOW);
     engines.get(1).reported(300, 0, NOW);
     engines.get(2).reported(300, 0, NOW);
-    UpstreamLoad chosen = choose(new EnginePlacement(), PlacementFixture.prompt(1, 1, 1), engines);
+    UpstreamLoad chosen =
+        choose(PlacementFixture.placement(), PlacementFixture.prompt(1, 1, 1), engines);
     assertTrue(chosen.id().value().length() == 1, "chosen " + chosen.id());
   }
 
   @Test
   public void coldEngineGetsNoMoreThanItsAllowance() {
-    EnginePlacement placement = new EnginePlacement();
+    EnginePlacement placement = PlacementFixture.placement();
     List<UpstreamLoad> engines = PlacementFixture.engines(5);
     engines.forEach(it -> it.cold().coldUntil(NOW + 3_000));
     int sent = 0;
@@ -134,23 +135,27 @@
   public void shortPromptsLeaveFullEngineBeforeLongOnes() {
     List<UpstreamLoad> engines = PlacementFixture.engines(8);
     engines.forEach(it -> it.reported(10, 0, NOW));
-    UpstreamLoad home = choose(new EnginePlacement(), PlacementFixture.prompt(1, 7, 1), engines);
-    UpstreamLoad shortHome = choose(new EnginePlacement(), shortPrompt(9), engines);
+    UpstreamLoad home =
+        choose(PlacementFixture.placement(), PlacementFixture.prompt(1, 7, 1), engines);
+    UpstreamLoad shortHome = choose(PlacementFixture.placement(), shortPrompt(9), engines);
     home.reported(16, 0, NOW);
     shortHome.reported(16, 0, NOW);
     assertEquals(
-        choose(new EnginePlacement(), PlacementFixture.prompt(1, 7, 2), engines).id(), home.id());
-    assertNotEquals(choose(new EnginePlacement(), shortPrompt(9), engines).id(), shortHome.id());
+        choose(PlacementFixture.placement(), PlacementFixture.prompt(1, 7, 2), engines).id(),
+        home.id());
+    assertNotEquals(
+        choose(PlacementFixture.placement(), shortPrompt(9), engines).id(), shortHome.id());
   }
 
   @Test
   public void requestsOfFullSessionSpillToTheSameEngine() {
     List<UpstreamLoad> engines = PlacementFixture.engines(8);
-    UpstreamLoad home = choose(new EnginePlacement(), PlacementFixture.prompt(1, 7, 1), engines);
+    UpstreamLoad home =
+        choose(PlacementFixture.placement(), PlacementFixture.prompt(1, 7, 1), engines);
     home.reported(40, 0, NOW);
     Set<UpstreamId> spilledTo = new HashSet<>();
     for (int vm = 0; vm < 5; vm++) {
-      EnginePlacement placement = new EnginePlacement();
+      EnginePlacement placement = PlacementFixture.placement();
       spilledTo.add(choose(placement, PlacementFixture.prompt(1, 7, vm), engines).id());
     }
     assertEquals(spilledTo.size(), 1);
@@ -159,7 +164,7 @@
   @Test
   public void sessionThatSpillsCanFetchFromItsEngine() {
     List<UpstreamLoad> engines = PlacementFixture.engines(8);
-    EnginePlacement placement = new EnginePlacement();
+    EnginePlacement placement = PlacementFixture.placement();
     Prompt prompt = PlacementFixture.prompt(1, 7, 1);
     UpstreamLoad home = choose(placement, prompt, engines);
     assertEquals(holder(placement, prompt, home, engines), Optional.empty());
@@ -171,7 +176,7 @@
   @Test
   public void sessionOfLeavingEngineCanFetchFromIt() {
     List<UpstreamLoad> present = PlacementFixture.engines(8);
-    EnginePlacement placement = new EnginePlacement();
+    EnginePlacement placement = PlacementFixture.placement();
     Prompt prompt = PlacementFixture.prompt(1, 7, 1);
     UpstreamLoad leaving = choose(placement, prompt, present);
     List<UpstreamLoad> open = new ArrayList<>(present);
@@ -180,9 +185,94 @@
     assertEquals(holder(placement, prompt, next, present), Optional.of(leaving));
   }
 
+  @Test
+  public void sessionStaysWhereItWasMovedWhenItsEngineReturnsWithoutMemory() {
+    PromptIndex index = new PromptIndex();
+    EnginePlacement placement = PlacementFixture.placement(index);
+    List<UpstreamLoad> engines = PlacementFixture.engines(8);
+    Prompt prompt = PlacementFixture.prompt(1, 7, 1);
+    UpstreamLoad crashed = choose(placement, prompt, engines);
+    index.sent(prompt, crashed, NOW);
+    index.forget(crashed.key());
+    List<UpstreamLoad> open = new ArrayList<>(engines);
+    open.remove(crashed);
+    UpstreamLoad next = choose(placement, prompt, open);
+    index.sent(prompt, next, NOW);
+    assertEquals(choose(placement, prompt, engines).id(), next.id());
+  }
+
+  @Test
+  public void sessionThatHasToMoveFetchesFromWhereItWasServedLast() {
+    PromptIndex index = new PromptIndex();
+    EnginePlacement placement = PlacementFixture.placement(index);
+    List<UpstreamLoad> engines = PlacementFixture.engines(8);
+    Prompt prompt = PlacementFixture.prompt(1, 7, 1);
+    UpstreamLoad home = choose(placement, prompt, engines);
+    List<UpstreamLoad> others = new ArrayList<>(engines);
+    others.remove(home);
+    UpstreamLoad served = others.getFirst();
+    index.sent(prompt, served, NOW);
+    assertEquals(holder(placement, prompt, home, engines), Optional.of(served));
+    assertEquals(holder(placement, prompt, served, engines), Optional.empty());
+  }
+
+  @Test
+  public void newSessionFetchesItsFirstPartFromAnEngineThatHoldsIt() {
+    PromptIndex index = new PromptIndex();
+    EnginePlacement placement = PlacementFixture.placement(index);
+    List<UpstreamLoad> engines = PlacementFixture.engines(8);
+    Prompt prompt = PlacementFixture.prompt(1, 7, 1);
+    UpstreamLoad home = choose(placement, prompt, engines);
+    List<UpstreamLoad> others = new ArrayList<>(engines);
+    others.remove(home);
+    index.sent(PlacementFixture.prompt(1, 8, 1), others.getFirst(), NOW);
+    assertEquals(holder(placement, prompt, home, engines), Optional.of(others.getFirst()));
+  }
+
+  @Test
+  public void busySessionIsSharedByOneEngineInAnotherZone() {
+    PromptIndex index = new PromptIndex();
+    EnginePlacement placement = PlacementFixture.placement(index);
+    List<UpstreamLoad> engines = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      engines.add(
+          PlacementFixture.engine("engine-" + i, "zone-" + i % 3, PlacementFixture.OLD_MILLIS));
+    }
+    engines.forEach(it -> it.reported(5, 0, NOW));
+    Prompt prompt = PlacementFixture.prompt(1, 7, 1);
+    UpstreamLoad home = choose(placement, prompt, engines);
+    index.sent(prompt, home, NOW);
+    home.reported(10, 0, NOW);
+    UpstreamLoad second = choose(placement, prompt, engines);
+    assertNotEquals(second.zone(), home.zone());
+    index.sent(prompt, second, NOW);
+    Set<UpstreamLoad> used = new HashSet<>();
+    for (int request = 0; request < 8; request++) {
+      UpstreamLoad engine = choose(placement, prompt, engines);
+      engine.started();
+      used.add(engine);
+    }
+    assertEquals(used, Set.of(home, second));
+  }
+
+  @Test
+  public void vmPrefersTheHolderInItsOwnZoneWhileItIsNotBusier() {
+    PromptIndex index = new PromptIndex();
+    EnginePlacement placement = PlacementFixture.placement(index);
+    UpstreamLoad near = PlacementFixture.engine("near", "zone", PlacementFixture.OLD_MILLIS);
+    UpstreamLoad far = PlacementFixture.engine("far", "other", PlacementFixture.OLD_MILLIS);
+    List<UpstreamLoad> engines = List.of(far, near);
+    Prompt prompt = PlacementFixture.prompt(1, 7, 1);
+    index.sent(prompt, near, NOW);
+    index.sent(prompt, far, NOW);
+    assertEquals(choose(placement, prompt, engines), near);
+    near.reported(3, 0, NOW);
+    assertEquals(choose(placement, prompt, engines), far);
+  }
+
   private static Optional<UpstreamLoad> holder(
       EnginePlacement placement, Prompt prompt, UpstreamLoad chosen, List<UpstreamLoad> present) {
-    return placement.holder(prompt, chosen, present, PlacementFixture.WALL_MILLIS);
+    return placement.holder(prompt, chosen, present, NOW, PlacementFixture.WALL_MILLIS);
   }
 
   private static Prompt shortPrompt(int session) {
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/PlacementFixture.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/PlacementFixture.java
@@ -15,6 +15,14 @@
 
   private PlacementFixture() {}
 
+  static EnginePlacement placement() {
+    return placement(new PromptIndex());
+  }
+
+  static EnginePlacement placement(PromptIndex index) {
+    return new EnginePlacement(new ZoneId("zone"), index);
+  }
+
   static List<UpstreamLoad> engines(int count) {
     List<UpstreamLoad> engines = new ArrayList<>();
     for (int i = 0; i < count; i++) {
@@ -24,8 +32,12 @@
   }
 
   static UpstreamLoad engine(String name, long bornMillis) {
+    return engine(name, "zone", bornMillis);
+  }
+
+  static UpstreamLoad engine(String name, String zone, long bornMillis) {
     return new UpstreamLoad(
-        new UpstreamId(name), new ZoneId("zone"), 96, bornMillis, new PeerLoads());
+        new UpstreamId(name), new ZoneId(zone), 96, bornMillis, new PeerLoads());
   }
 
   static Prompt prompt(int first, int session, int request) {
--- /dev/null
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/PromptIndexTest.java
@@ -0,0 +1,76 @@
+package org.ragworttide.coordination.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Tells which engines hold which prompts. */
+public class PromptIndexTest {
+  private static final long NOW = 1_000;
+
+  private final UpstreamLoad engine =
+      PlacementFixture.engine("engine", PlacementFixture.OLD_MILLIS);
+  private final Prompt prompt = PlacementFixture.prompt(1, 7, 1);
+
+  @Test
+  public void engineHoldsWhatItWasSent() {
+    PromptIndex index = new PromptIndex();
+    index.sent(prompt, engine, NOW);
+    assertTrue(index.holds(prompt.parts().get(0), engine, NOW));
+    assertTrue(index.holds(prompt.affinityPart(), engine, NOW));
+  }
+
+  @Test
+  public void partOfTheRequestAloneIsNotKept() {
+    PromptIndex index = new PromptIndex();
+    index.sent(prompt, engine, NOW);
+    assertFalse(index.holds(prompt.parts().get(2), engine, NOW));
+  }
+
+  @Test
+  public void crashedEngineHoldsNothing() {
+    PromptIndex index = new PromptIndex();
+    index.sent(prompt, engine, NOW);
+    index.forget(engine.key());
+    assertFalse(index.holds(prompt.affinityPart(), engine, NOW));
+  }
+
+  @Test
+  public void unusedBeliefEnds() {
+    PromptIndex index = new PromptIndex();
+    index.sent(prompt, engine, NOW);
+    assertTrue(index.holds(prompt.affinityPart(), engine, NOW + 59_000));
+    assertFalse(index.holds(prompt.affinityPart(), engine, NOW + 60_000));
+  }
+
+  @Test
+  public void onlyNewHoldingsAreTold() {
+    PromptIndex index = new PromptIndex();
+    index.sent(prompt, engine, NOW);
+    index.sent(prompt, engine, NOW + 1);
+    assertEquals(index.takeNews().size(), 2);
+    assertEquals(index.takeNews(), List.of());
+  }
+
+  @Test
+  public void whatAnotherVmTellsIsBelievedAndNotToldOn() {
+    PromptIndex index = new PromptIndex();
+    int part = PromptIndex.key(prompt.affinityPart().idHash());
+    index.heard(new PromptIndex.Holding(part, engine.key()), NOW);
+    assertTrue(index.holds(prompt.affinityPart(), engine, NOW));
+    assertEquals(index.takeNews(), List.of());
+  }
+
+  @Test
+  public void partsThatAreNotUsedGiveWayToNewOnes() {
+    PromptIndex index = new PromptIndex();
+    index.sent(prompt, engine, NOW);
+    for (int session = 100; session < 17_000; session++) {
+      index.sent(PlacementFixture.prompt(2, session, 1), engine, NOW);
+    }
+    assertFalse(index.holds(prompt.affinityPart(), engine, NOW));
+  }
+}
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -10,13 +10,16 @@
 import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -44,6 +47,12 @@
   /** Periods between statements that name known VMs, and go to seeds not heard of. */
   private static final int INTRODUCTION_PERIODS = 6;
 
+  /** Statements that carry the same news of held prompts: two losses in a row are rare. */
+  private static final int NEWS_REPEATED = 3;
+
+  /** Held prompts in a statement, ten bytes each: half of its bytes in a small fleet. */
+  private static final int MAX_HOLDINGS = 32;
+
   private static final long MILLIS_PER_SECOND = 1_000;
 
   private final VmId vm;
@@ -54,6 +63,7 @@
   private final long incarnation = System.currentTimeMillis();
   private final Random random = new Random();
   private final Map<InetSocketAddress, Long> heardAtMillis = new HashMap<>();
+  private final Deque<List<PromptIndex.Holding>> newsOfStatements = new ArrayDeque<>();
   private Channel channel;
   private long sequence;
 
@@ -125,6 +135,7 @@
             statement.sequence(),
             statement.inFlight(),
             now);
+    statement.holdings().forEach(holding -> view.prompts().heard(holding, now));
     for (InetSocketAddress known : statement.known()) {
       if (!known.equals(address)) {
         heardAtMillis.putIfAbsent(known, now - FORGET_MILLIS / 2);
@@ -174,7 +185,18 @@
             });
     sequence++;
     List<InetSocketAddress> known = introduces() ? someKnown() : List.of();
-    return new PeerStatement(vm, incarnation, sequence, known, inFlight);
+    return new PeerStatement(vm, incarnation, sequence, known, inFlight, holdings());
+  }
+
+  /** Returns news of held prompts, each told in several statements, since any may be lost. */
+  private List<PromptIndex.Holding> holdings() {
+    newsOfStatements.addLast(view.prompts().takeNews());
+    if (newsOfStatements.size() > NEWS_REPEATED) {
+      newsOfStatements.removeFirst();
+    }
+    List<PromptIndex.Holding> all = new ArrayList<>();
+    newsOfStatements.descendingIterator().forEachRemaining(all::addAll);
+    return all.subList(0, Math.min(MAX_HOLDINGS, all.size()));
   }
 
   private boolean introduces() {
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
@@ -13,36 +13,43 @@
 import java.util.Map;
 import java.util.Optional;
 import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.placement.PromptIndex;
 
 /**
  * What a VM tells another: its requests at each upstream and the VMs that it knows.
  *
  * <p>In protobuf's encoding: 1 name, 2 incarnation, 3 sequence, 4 addresses of VMs (IPv4 and port),
- * 5 upstream keys, 6 requests, in the keys' order. Immutable, safe for use by any thread.
+ * 5 upstream keys, 6 requests, in the keys' order, 7 prompt parts, 8 the engines that hold them, in
+ * the parts' order. Immutable, safe for use by any thread.
  *
  * @param vm the VM that speaks
  * @param incarnation tells its runs apart
  * @param sequence grows within a run
  * @param known addresses of VMs that it has heard of lately
  * @param inFlight its requests by upstream key
+ * @param holdings prompt parts that engines have read lately for it
  */
 record PeerStatement(
     VmId vm,
     long incarnation,
     long sequence,
     List<InetSocketAddress> known,
-    Map<Integer, Integer> inFlight) {
+    Map<Integer, Integer> inFlight,
+    List<PromptIndex.Holding> holdings) {
   private static final int VM = 1;
   private static final int INCARNATION = 2;
   private static final int SEQUENCE = 3;
   private static final int KNOWN = 4;
   private static final int KEY = 5;
   private static final int COUNT = 6;
+  private static final int PART = 7;
+  private static final int HOLDER = 8;
   private static final int IPV4_BYTES = 4;
 
   PeerStatement {
     known = List.copyOf(known);
     inFlight = Map.copyOf(inFlight);
+    holdings = List.copyOf(holdings);
   }
 
   byte[] encode() {
@@ -59,6 +66,10 @@
         out.writeFixed32(KEY, entry.getKey());
         out.writeUInt32(COUNT, entry.getValue());
       }
+      for (PromptIndex.Holding holding : holdings) {
+        out.writeFixed32(PART, holding.part());
+        out.writeFixed32(HOLDER, holding.engine());
+      }
       out.flush();
     } catch (IOException e) {
       throw new IllegalStateException("a byte array takes all bytes", e);
@@ -74,7 +85,9 @@
     long sequence = 0;
     List<InetSocketAddress> known = new ArrayList<>();
     Map<Integer, Integer> inFlight = new HashMap<>();
+    List<PromptIndex.Holding> holdings = new ArrayList<>();
     int key = 0;
+    int part = 0;
     try {
       for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
         switch (WireFormat.getTagFieldNumber(tag)) {
@@ -84,10 +97,13 @@
           case KNOWN -> known.add(address(in.readByteArray()));
           case KEY -> key = in.readFixed32();
           case COUNT -> inFlight.put(key, in.readUInt32());
+          case PART -> part = in.readFixed32();
+          case HOLDER -> holdings.add(new PromptIndex.Holding(part, in.readFixed32()));
           default -> in.skipField(tag);
         }
       }
-      return Optional.of(new PeerStatement(new VmId(name), incarnation, sequence, known, inFlight));
+      return Optional.of(
+          new PeerStatement(new VmId(name), incarnation, sequence, known, inFlight, holdings));
     } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -255,6 +255,7 @@
       possibleRuns++;
       sentAtMillis = context.time().nowMillis();
       upstream.load().cold().sent(sentAtMillis);
+      context.placement().sent(request.head().prompt(), upstream, sentAtMillis);
       connection.send(forwarded(), request.head().id(), this);
       if (route.kind().isRepeatable() && route.targetLatencyMillis() > 0) {
         long patience = (long) (route.targetLatencyMillis() * SILENCE_FACTOR);
@@ -335,6 +336,7 @@
       end();
       long now = context.time().nowMillis();
       context.placement().outliers(service).unreachable(id, now);
+      context.view().prompts().forget(upstream.load().key());
       context.telemetry().attemptFailed(request.head().id(), id, reason, elapsedMillis());
       unreachable++;
       if (unreachable < MAX_UNREACHABLE && leftMillis() >= LEAST_ATTEMPT_MILLIS) {
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
@@ -28,6 +28,7 @@
  */
 public final class Placement {
   private final FleetView view;
+  private final ZoneId ownZone;
   private final ServicePlacement services;
   private final Map<ServiceName, EnginePlacement> engines = new HashMap<>();
   private final Map<ServiceName, OutlierDetector> outliers = new HashMap<>();
@@ -35,6 +36,7 @@
   /** Creates the placement of a VM in the zone. */
   public Placement(FleetView view, ZoneId ownZone) {
     this.view = view;
+    this.ownZone = ownZone;
     this.services = new ServicePlacement(ownZone, new SplittableRandom());
   }
 
@@ -69,10 +71,19 @@
     }
     return engines(service)
         .holder(
-            prompt.get(), chosen.load(), List.copyOf(present.keySet()), System.currentTimeMillis())
+            prompt.get(),
+            chosen.load(),
+            List.copyOf(present.keySet()),
+            nowMillis,
+            System.currentTimeMillis())
         .map(present::get);
   }
 
+  /** Notes that the prompt goes to the upstream. */
+  void sent(Optional<Prompt> prompt, Upstream upstream, long nowMillis) {
+    prompt.ifPresent(it -> view.prompts().sent(it, upstream.load(), nowMillis));
+  }
+
   private List<Upstream> healthy(ServiceName service, Set<UpstreamId> tried, long nowMillis) {
     OutlierDetector detector = outliers(service);
     List<Upstream> untried = new ArrayList<>();
@@ -89,6 +100,6 @@
   }
 
   private EnginePlacement engines(ServiceName service) {
-    return engines.computeIfAbsent(service, name -> new EnginePlacement());
+    return engines.computeIfAbsent(service, name -> new EnginePlacement(ownZone, view.prompts()));
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -12,6 +12,7 @@
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.placement.PeerLoads;
+import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.gateway.model.CallerLimits;
 import org.ragworttide.gateway.model.Configuration;
 import org.ragworttide.gateway.model.Organisation;
@@ -31,6 +32,7 @@
   private final Map<UpstreamId, Upstream> upstreams = new HashMap<>();
   private final Map<ServiceName, List<Upstream>> byService = new HashMap<>();
   private final PeerLoads peers = new PeerLoads();
+  private final PromptIndex prompts = new PromptIndex();
   private final Set<ZoneId> evacuated = new HashSet<>();
   private Optional<Configuration> configuration = Optional.empty();
   private long configurationRevision;
@@ -76,6 +78,7 @@
     Upstream gone = upstreams.remove(id);
     if (gone != null) {
       byService.get(gone.entry().service()).remove(gone);
+      prompts.forget(gone.load().key());
       gone.close();
     }
   }
@@ -125,6 +128,11 @@
     return peers;
   }
 
+  /** Returns which engines hold which prompts. */
+  public PromptIndex prompts() {
+    return prompts;
+  }
+
   /** Returns all upstreams. */
   public Collection<Upstream> upstreams() {
     return Collections.unmodifiableCollection(upstreams.values());
