Group engines by the length of a first part alone; guess a holder where nothing is known

Cause: a group's size followed the demand that each VM saw, so VMs and a restarted VM placed the same session differently. The test of a spilled session now states that the home is known to hold the prompt before it says that nothing is fetched: a VM that knows nothing guesses, which has a test of its own.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -2,10 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.ragworttide.coordination.id.ZoneId;
 
@@ -15,20 +12,16 @@
  * <p>Answers these patterns: many sessions over a few long first parts, where placement by session
  * alone reads each first part on every engine; a hot session, which must not fill its engine; and
  * engines that crash, leave or return without what they held. The first part names a group of
- * engines by rendezvous hashing: the longer it is the fewer, but as many as its share of requests
- * needs; the part of the session names the engine in the group. A session known to be in an
- * engine's memory goes there instead, or to its second engine, in another availability zone, which
- * fetches the prompt once: the two share its load, spare bytes between zones and survive each
- * other's loss. An engine above the load bound is passed over for the next in the same order, so
- * that all VMs spill to the same engines.
+ * engines by rendezvous hashing, the longer it is the fewer; the part of the session names the
+ * engine in the group. A session known to be in an engine's memory goes there instead, or to its
+ * second engine, in another availability zone, which fetches the prompt once: the two share its
+ * load, spare bytes between zones and survive each other's loss. An engine above the load bound is
+ * passed over for the next in the same order, so that all VMs spill to the same engines.
  *
  * <p>Invariant: the chosen engine is a candidate and, if any candidate is within the bound, is
  * within it itself. Confined to one thread.
  */
 public final class EnginePlacement {
-  /** Engines for a first part, per engine that its share of requests would fill. */
-  private static final double GROUP_HEADROOM = 2;
-
   /** Engines for a first part at least: room for its sessions without reading it everywhere. */
   private static final int SMALLEST_GROUP = 3;
 
@@ -41,12 +34,6 @@
   /** The same for a short prompt: such requests make room for the others first. */
   private static final LoadBound EVEN_BOUND = new LoadBound(1.3, 1.2, 1);
 
-  /** Requests of other first parts assumed at the start, when a few are no sample. */
-  private static final int UNSEEN_REQUESTS = 64;
-
-  /** First parts counted before all counts are halved. */
-  private static final int DEMAND_WINDOW = 512;
-
   /** Requests that a choice in another zone must save: a body between zones costs as much. */
   private static final int OTHER_ZONE_REQUESTS = 2;
 
@@ -58,8 +45,6 @@
 
   private final ZoneId ownZone;
   private final PromptIndex index;
-  private final Map<Long, Integer> demand = new HashMap<>();
-  private int counted;
 
   /**
    * Creates the placement of a VM.
@@ -90,7 +75,6 @@
     if (prompt.parts().isEmpty()) {
       return leastLoaded(open, nowMillis);
     }
-    count(prompt.parts().getFirst());
     List<UpstreamLoad> order = order(prompt, open, wallMillis);
     boolean joining = order.size() < open.size();
     LoadBound bound = prompt.sharedTokens() < CHEAP_TOKENS ? EVEN_BOUND : FIRM_BOUND;
@@ -108,7 +92,7 @@
       double most,
       long nowMillis) {
     List<UpstreamLoad> sharing = new ArrayList<>();
-    for (UpstreamLoad engine : open) {
+    for (UpstreamLoad engine : spillOrder(prompt, open, order)) {
       if (index.holds(prompt.affinityPart(), engine, nowMillis)) {
         sharing.add(engine);
       }
@@ -157,8 +141,10 @@
    * again, empty if none is likelier to hold it.
    *
    * <p>Answers the pattern of spills, replacements and evacuations. What is known to be held goes
-   * first. Else, as all VMs place alike, the prompt is where it would be placed among all engines
-   * that are still there, those that leave or are taken out included.
+   * first, the whole prompt or its first part. Else, as all VMs place alike, the prompt is where it
+   * would be placed among all engines that are still there, those that leave or are taken out
+   * included; a VM that has just started may choose that engine when it was passed over before, so
+   * it guesses the next.
    *
    * @param prompt the request's prompt
    * @param chosen the engine that takes the request
@@ -177,10 +163,20 @@
         || index.holds(prompt.affinityPart(), chosen, nowMillis)) {
       return Optional.empty();
     }
+    PromptPart first = prompt.parts().getFirst();
+    List<UpstreamLoad> order = order(prompt, present, wallMillis);
+    boolean next = order.getFirst() == chosen;
     return holding(prompt.affinityPart(), chosen, present, nowMillis)
-        .or(() -> order(prompt, present, wallMillis).stream().findFirst())
-        .filter(engine -> engine != chosen)
-        .or(() -> holding(prompt.parts().getFirst(), chosen, present, nowMillis));
+        .or(() -> next ? Optional.empty() : Optional.of(order.getFirst()))
+        .or(() -> missing(first, chosen, present, nowMillis))
+        .or(() -> order.stream().filter(engine -> engine != chosen).findFirst());
+  }
+
+  private Optional<UpstreamLoad> missing(
+      PromptPart part, UpstreamLoad chosen, List<UpstreamLoad> present, long nowMillis) {
+    return index.holds(part, chosen, nowMillis)
+        ? Optional.empty()
+        : holding(part, chosen, present, nowMillis);
   }
 
   private Optional<UpstreamLoad> holding(
@@ -201,18 +197,8 @@
     return order;
   }
 
-  private void count(PromptPart first) {
-    demand.merge(first.idHash(), 1, Integer::sum);
-    counted++;
-    if (counted >= DEMAND_WINDOW) {
-      halveDemand();
-    }
-  }
-
-  private int groupSize(PromptPart first, int engines) {
-    double share = (double) demand.getOrDefault(first.idHash(), 0) / (counted + UNSEEN_REQUESTS);
-    double affordable = Math.min(1, CHEAP_TOKENS / Math.max(1, first.tokens()));
-    double wanted = engines * Math.max(affordable, share * GROUP_HEADROOM);
+  private static int groupSize(PromptPart first, int engines) {
+    double wanted = engines * Math.min(1, CHEAP_TOKENS / Math.max(1, first.tokens()));
     int group = SMALLEST_GROUP;
     while (group < wanted) {
       group *= 2;
@@ -220,19 +206,6 @@
     return Math.min(group, engines);
   }
 
-  private void halveDemand() {
-    counted = 0;
-    for (Iterator<Map.Entry<Long, Integer>> all = demand.entrySet().iterator(); all.hasNext(); ) {
-      Map.Entry<Long, Integer> entry = all.next();
-      int half = entry.getValue() / 2;
-      counted += half;
-      entry.setValue(half);
-      if (half == 0) {
-        all.remove();
-      }
-    }
-  }
-
   private static Optional<UpstreamLoad> within(
       List<UpstreamLoad> order, double bound, long nowMillis) {
     for (UpstreamLoad engine : order) {
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
@@ -163,16 +163,31 @@
 
   @Test
   public void sessionThatSpillsCanFetchFromItsEngine() {
+    PromptIndex index = new PromptIndex();
     List<UpstreamLoad> engines = PlacementFixture.engines(8);
-    EnginePlacement placement = PlacementFixture.placement();
+    EnginePlacement placement = PlacementFixture.placement(index);
     Prompt prompt = PlacementFixture.prompt(1, 7, 1);
     UpstreamLoad home = choose(placement, prompt, engines);
+    index.sent(prompt, home, NOW);
     assertEquals(holder(placement, prompt, home, engines), Optional.empty());
     home.reported(40, 0, NOW);
     UpstreamLoad other = choose(placement, prompt, engines);
     assertEquals(holder(placement, prompt, other, engines), Optional.of(home));
   }
 
+  @Test
+  public void vmThatKnowsNothingYetGuessesTheEngineNextInOrder() {
+    List<UpstreamLoad> engines = PlacementFixture.engines(8);
+    EnginePlacement placement = PlacementFixture.placement();
+    Prompt prompt = PlacementFixture.prompt(1, 7, 1);
+    UpstreamLoad home = choose(placement, prompt, engines);
+    List<UpstreamLoad> open = new ArrayList<>(engines);
+    open.remove(home);
+    UpstreamLoad next = choose(placement, prompt, open);
+    assertEquals(holder(placement, prompt, home, engines), Optional.of(next));
+    assertEquals(holder(placement, prompt, next, engines), Optional.of(home));
+  }
+
   @Test
   public void sessionOfLeavingEngineCanFetchFromIt() {
     List<UpstreamLoad> present = PlacementFixture.engines(8);
