Let sessions return to the engine that their hash names by a fetch; drop ranks by an engine's age

Now a session's holders are known, so an engine that joins takes only what is new or what it is less busy for, by a fetch; a VM that knows nothing fetches from the engine that would have had it before the chosen one started. Tests: engines that join leave sessions to engines that are known to hold them (same claim, with what a VM knows); the ranks' own parameters (time, second multiple of a bound) are gone.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -29,10 +29,10 @@
   private static final double CHEAP_TOKENS = 1_000;
 
   /** What an engine may hold for a request whose prompt is long to read elsewhere. */
-  private static final LoadBound FIRM_BOUND = new LoadBound(1.8, 1.5, 3);
+  private static final LoadBound FIRM_BOUND = new LoadBound(1.8, 3);
 
   /** The same for a short prompt: such requests make room for the others first. */
-  private static final LoadBound EVEN_BOUND = new LoadBound(1.3, 1.2, 1);
+  private static final LoadBound EVEN_BOUND = new LoadBound(1.3, 1);
 
   /** Requests that a choice in another zone must save: a body between zones costs as much. */
   private static final int OTHER_ZONE_REQUESTS = 2;
@@ -40,6 +40,12 @@
   /** Requests that a choice must save which has to fetch the prompt first. */
   private static final int FETCH_REQUESTS = 4;
 
+  /** The same for the engine that the session's hash names: there a restarted VM looks for it. */
+  private static final int HOME_FETCH_REQUESTS = 1;
+
+  /** Milliseconds between the starts of engines that may have started together. */
+  private static final long JOINED_TOGETHER_MILLIS = 10_000;
+
   /** Engines that share a session's load while none of them is full. */
   private static final int SHARING_ENGINES = 2;
 
@@ -62,12 +68,12 @@
    *
    * @param prompt the request's prompt
    * @param candidates engines that may take the request
+   * @param fetches whether an engine can fetch a prompt from another
    * @param nowMillis the time
-   * @param wallMillis Unix time in milliseconds, right to some seconds
    * @return the engine, empty if there is no candidate that admits the request
    */
   public Optional<UpstreamLoad> choose(
-      Prompt prompt, List<UpstreamLoad> candidates, long nowMillis, long wallMillis) {
+      Prompt prompt, List<UpstreamLoad> candidates, boolean fetches, long nowMillis) {
     List<UpstreamLoad> open = Warmth.admitting(candidates, nowMillis);
     if (open.isEmpty()) {
       return Optional.empty();
@@ -75,45 +81,46 @@
     if (prompt.parts().isEmpty()) {
       return leastLoaded(open, nowMillis);
     }
-    List<UpstreamLoad> order = order(prompt, open, wallMillis);
-    boolean joining = order.size() < open.size();
+    List<UpstreamLoad> order = order(prompt, open);
     LoadBound bound = prompt.sharedTokens() < CHEAP_TOKENS ? EVEN_BOUND : FIRM_BOUND;
-    double most = bound.requests(open, joining, nowMillis);
-    return shared(prompt, open, order, most, nowMillis)
-        .or(() -> within(spillOrder(prompt, open, order), most, nowMillis))
+    double most = bound.requests(open, nowMillis);
+    return sharing(prompt, order, fetches, nowMillis).stream()
+        .filter(engine -> engine.estimate(nowMillis) + 1 <= most)
+        .min(Comparator.comparingInt(engine -> cost(prompt, engine, order.getFirst(), nowMillis)))
+        .or(() -> within(order, most, nowMillis))
         .or(() -> leastLoaded(open, nowMillis));
   }
 
-  /** Chooses among the engines that hold the session's prompt and those that should. */
-  private Optional<UpstreamLoad> shared(
-      Prompt prompt,
-      List<UpstreamLoad> open,
-      List<UpstreamLoad> order,
-      double most,
-      long nowMillis) {
+  /** Returns the engines that hold the session's prompt and those that may fetch it. */
+  private List<UpstreamLoad> sharing(
+      Prompt prompt, List<UpstreamLoad> order, boolean fetches, long nowMillis) {
     List<UpstreamLoad> sharing = new ArrayList<>();
-    for (UpstreamLoad engine : spillOrder(prompt, open, order)) {
+    for (UpstreamLoad engine : order) {
       if (index.holds(prompt.affinityPart(), engine, nowMillis)) {
         sharing.add(engine);
       }
     }
-    if (sharing.isEmpty()) {
-      return Optional.empty();
+    if (sharing.isEmpty() || !fetches) {
+      return sharing;
     }
     if (sharing.size() < SHARING_ENGINES) {
       secondOf(sharing.getFirst(), order).ifPresent(sharing::add);
     }
-    return sharing.stream()
-        .filter(engine -> engine.estimate(nowMillis) + 1 <= most)
-        .min(Comparator.comparingInt(engine -> cost(prompt, engine, nowMillis)));
+    if (!sharing.contains(order.getFirst())) {
+      sharing.addFirst(order.getFirst());
+    }
+    return sharing;
   }
 
-  private int cost(Prompt prompt, UpstreamLoad engine, long nowMillis) {
+  private int cost(Prompt prompt, UpstreamLoad engine, UpstreamLoad home, long nowMillis) {
     int cost = engine.estimate(nowMillis);
     if (!engine.zone().equals(ownZone)) {
       cost += OTHER_ZONE_REQUESTS;
     }
-    return index.holds(prompt.affinityPart(), engine, nowMillis) ? cost : cost + FETCH_REQUESTS;
+    if (index.holds(prompt.affinityPart(), engine, nowMillis)) {
+      return cost;
+    }
+    return cost + (engine == home ? HOME_FETCH_REQUESTS : FETCH_REQUESTS);
   }
 
   /** Returns the first engine in another zone than the holder's or, if there is none, the next. */
@@ -124,18 +131,6 @@
         .or(() -> order.stream().filter(engine -> engine != holder).findFirst());
   }
 
-  /** Returns all engines: those of the session's order, the joining ones behind its group. */
-  private List<UpstreamLoad> spillOrder(
-      Prompt prompt, List<UpstreamLoad> open, List<UpstreamLoad> order) {
-    List<UpstreamLoad> joining = new ArrayList<>(open);
-    joining.removeAll(order);
-    int group = groupSize(prompt.parts().getFirst(), order.size());
-    List<UpstreamLoad> all = new ArrayList<>(order.subList(0, group));
-    all.addAll(byWeight(joining, prompt.affinityPart().idHash()));
-    all.addAll(order.subList(group, order.size()));
-    return all;
-  }
-
   /**
    * Returns the engine from which the chosen one can fetch a session's prompt instead of reading it
    * again, empty if none is likelier to hold it.
@@ -143,35 +138,30 @@
    * <p>Answers the pattern of spills, replacements and evacuations. What is known to be held goes
    * first, the whole prompt or its first part. Else, as all VMs place alike, the prompt is where it
    * would be placed among all engines that are still there, those that leave or are taken out
-   * included; a VM that has just started may choose that engine when it was passed over before, so
-   * it guesses the next.
+   * included, or was placed before the chosen engine started.
    *
    * @param prompt the request's prompt
    * @param chosen the engine that takes the request
    * @param present all engines of the service that answer
    * @param nowMillis the time
-   * @param wallMillis Unix time in milliseconds, right to some seconds
    */
   public Optional<UpstreamLoad> holder(
-      Prompt prompt,
-      UpstreamLoad chosen,
-      List<UpstreamLoad> present,
-      long nowMillis,
-      long wallMillis) {
-    if (prompt.parts().isEmpty()
-        || present.isEmpty()
-        || index.holds(prompt.affinityPart(), chosen, nowMillis)) {
+      Prompt prompt, UpstreamLoad chosen, List<UpstreamLoad> present, long nowMillis) {
+    if (prompt.parts().isEmpty() || index.holds(prompt.affinityPart(), chosen, nowMillis)) {
       return Optional.empty();
     }
-    PromptPart first = prompt.parts().getFirst();
-    List<UpstreamLoad> order = order(prompt, present, wallMillis);
-    boolean next = order.getFirst() == chosen;
+    List<UpstreamLoad> order = order(prompt, present);
     return holding(prompt.affinityPart(), chosen, present, nowMillis)
-        .or(() -> next ? Optional.empty() : Optional.of(order.getFirst()))
-        .or(() -> missing(first, chosen, present, nowMillis))
+        .or(() -> order.stream().findFirst().filter(engine -> engine != chosen))
+        .or(() -> missing(prompt.parts().getFirst(), chosen, present, nowMillis))
+        .or(() -> order.stream().filter(engine -> isOlder(engine, chosen)).findFirst())
         .or(() -> order.stream().filter(engine -> engine != chosen).findFirst());
   }
 
+  private static boolean isOlder(UpstreamLoad engine, UpstreamLoad chosen) {
+    return engine.bornMillis() + JOINED_TOGETHER_MILLIS < chosen.bornMillis();
+  }
+
   private Optional<UpstreamLoad> missing(
       PromptPart part, UpstreamLoad chosen, List<UpstreamLoad> present, long nowMillis) {
     return index.holds(part, chosen, nowMillis)
@@ -186,11 +176,11 @@
         .min(Comparator.comparingInt(engine -> engine.estimate(nowMillis)));
   }
 
-  /** Returns the established engines in the session's order, those of its group first. */
-  private List<UpstreamLoad> order(Prompt prompt, List<UpstreamLoad> engines, long wallMillis) {
+  /** Returns the engines in the session's order, those of its first part's group first. */
+  private static List<UpstreamLoad> order(Prompt prompt, List<UpstreamLoad> engines) {
     PromptPart first = prompt.parts().getFirst();
     long session = prompt.affinityPart().idHash();
-    List<UpstreamLoad> all = byWeight(Seniority.established(engines, wallMillis), first.idHash());
+    List<UpstreamLoad> all = byWeight(engines, first.idHash());
     int group = groupSize(first, all.size());
     List<UpstreamLoad> order = new ArrayList<>(byWeight(all.subList(0, group), session));
     order.addAll(byWeight(all.subList(group, all.size()), session));
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/LoadBound.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/LoadBound.java
@@ -9,17 +9,16 @@
  * two statements. Immutable, safe for use by any thread.
  *
  * @param multiple multiple of the mean
- * @param joiningMultiple the same while engines join, whose idleness lowers the mean
  * @param slack requests above the multiple, for small means
  */
-record LoadBound(double multiple, double joiningMultiple, int slack) {
+record LoadBound(double multiple, int slack) {
 
   /** Returns the bound before the engines. */
-  double requests(List<UpstreamLoad> engines, boolean joining, long nowMillis) {
+  double requests(List<UpstreamLoad> engines, long nowMillis) {
     int sum = 0;
     for (UpstreamLoad engine : engines) {
       sum += engine.estimate(nowMillis);
     }
-    return (joining ? joiningMultiple : multiple) * sum / engines.size() + slack;
+    return multiple * sum / engines.size() + slack;
   }
 }
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
@@ -21,7 +21,7 @@
 
   private static UpstreamLoad choose(
       EnginePlacement placement, Prompt prompt, List<UpstreamLoad> engines) {
-    return placement.choose(prompt, engines, NOW, PlacementFixture.WALL_MILLIS).orElseThrow();
+    return placement.choose(prompt, engines, true, NOW).orElseThrow();
   }
 
   @Test
@@ -84,8 +84,8 @@
 
   @Test
   public void joiningEnginesLeaveSessionsWhereTheirPromptsAre() {
-    EnginePlacement alone = PlacementFixture.placement();
-    EnginePlacement joined = PlacementFixture.placement();
+    PromptIndex index = new PromptIndex();
+    EnginePlacement placement = PlacementFixture.placement(index);
     List<UpstreamLoad> before = PlacementFixture.engines(13);
     List<UpstreamLoad> after = new ArrayList<>(before);
     for (int i = 0; i < 3; i++) {
@@ -93,8 +93,30 @@
     }
     for (int session = 0; session < 100; session++) {
       Prompt prompt = PlacementFixture.prompt(session % 20, session, 0);
-      assertEquals(choose(joined, prompt, after).id(), choose(alone, prompt, before).id());
+      UpstreamLoad holder = choose(placement, prompt, before);
+      index.sent(prompt, holder, NOW);
+      assertEquals(choose(placement, prompt, after).id(), holder.id());
+    }
+  }
+
+  @Test
+  public void joiningEngineFetchesSessionsFromWhereTheyWereBeforeItStarted() {
+    List<UpstreamLoad> before = PlacementFixture.engines(13);
+    List<UpstreamLoad> after = new ArrayList<>(before);
+    for (int i = 0; i < 6; i++) {
+      after.add(PlacementFixture.engine("joined-" + i, PlacementFixture.WALL_MILLIS - 2_000));
+    }
+    int moved = 0;
+    for (int session = 0; session < 100; session++) {
+      Prompt prompt = new Prompt(List.of(new PromptPart(session * 7_919L, 900)), 900, 200);
+      UpstreamLoad holder = choose(PlacementFixture.placement(), prompt, before);
+      UpstreamLoad chosen = choose(PlacementFixture.placement(), prompt, after);
+      if (chosen != holder) {
+        moved++;
+        assertEquals(holder(PlacementFixture.placement(), prompt, chosen, after).get(), holder);
+      }
     }
+    assertTrue(moved > 10, "moved " + moved);
   }
 
   @Test
@@ -118,11 +140,7 @@
     int sent = 0;
     for (int request = 0; request < 100; request++) {
       var chosen =
-          placement.choose(
-              PlacementFixture.prompt(1, request, request),
-              engines,
-              NOW,
-              PlacementFixture.WALL_MILLIS);
+          placement.choose(PlacementFixture.prompt(1, request, request), engines, true, NOW);
       if (chosen.isPresent()) {
         chosen.get().cold().sent(NOW);
         sent++;
@@ -201,7 +219,7 @@
   }
 
   @Test
-  public void sessionStaysWhereItWasMovedWhenItsEngineReturnsWithoutMemory() {
+  public void sessionStaysWhereItWasMovedWhileItsEngineIsNotLessBusy() {
     PromptIndex index = new PromptIndex();
     EnginePlacement placement = PlacementFixture.placement(index);
     List<UpstreamLoad> engines = PlacementFixture.engines(8);
@@ -214,6 +232,9 @@
     UpstreamLoad next = choose(placement, prompt, open);
     index.sent(prompt, next, NOW);
     assertEquals(choose(placement, prompt, engines).id(), next.id());
+    next.reported(2, 0, NOW);
+    assertEquals(choose(placement, prompt, engines).id(), crashed.id());
+    assertEquals(holder(placement, prompt, crashed, engines), Optional.of(next));
   }
 
   @Test
@@ -287,7 +308,7 @@
 
   private static Optional<UpstreamLoad> holder(
       EnginePlacement placement, Prompt prompt, UpstreamLoad chosen, List<UpstreamLoad> present) {
-    return placement.holder(prompt, chosen, present, NOW, PlacementFixture.WALL_MILLIS);
+    return placement.holder(prompt, chosen, present, NOW);
   }
 
   private static Prompt shortPrompt(int session) {
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
@@ -51,7 +51,7 @@
     List<UpstreamLoad> loads = candidates.stream().map(Upstream::load).toList();
     Optional<UpstreamLoad> chosen =
         prompt.isPresent()
-            ? engines(service).choose(prompt.get(), loads, nowMillis, System.currentTimeMillis())
+            ? engines(service).choose(prompt.get(), loads, fetches(service), nowMillis)
             : services.choose(loads, nowMillis);
     return chosen.flatMap(load -> candidates.stream().filter(it -> it.load() == load).findFirst());
   }
@@ -59,7 +59,7 @@
   /** Returns an engine that is likely to hold the prompt, if it isn't the chosen. */
   Optional<Upstream> holder(
       ServiceName service, Optional<Prompt> prompt, Upstream chosen, long nowMillis) {
-    if (prompt.isEmpty() || view.policy(service).filter(ServicePolicy::fetches).isEmpty()) {
+    if (prompt.isEmpty() || !fetches(service)) {
       return Optional.empty();
     }
     OutlierDetector detector = outliers(service);
@@ -70,12 +70,7 @@
       }
     }
     return engines(service)
-        .holder(
-            prompt.get(),
-            chosen.load(),
-            List.copyOf(present.keySet()),
-            nowMillis,
-            System.currentTimeMillis())
+        .holder(prompt.get(), chosen.load(), List.copyOf(present.keySet()), nowMillis)
         .map(present::get);
   }
 
@@ -99,6 +94,10 @@
     return healthy.isEmpty() ? untried : healthy;
   }
 
+  private boolean fetches(ServiceName service) {
+    return view.policy(service).filter(ServicePolicy::fetches).isPresent();
+  }
+
   private EnginePlacement engines(ServiceName service) {
     return engines.computeIfAbsent(service, name -> new EnginePlacement(ownZone, view.prompts()));
   }
