--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -51,6 +51,9 @@
   /** Milliseconds for the first configuration: a connection and a read of the store, cold. */
   private static final long FIRST_READ_MILLIS = 1_500;
 
+  /** Milliseconds for which readiness waits for a configuration: one health check's period. */
+  private static final long ANCILLARY_DELAY_MILLIS = 1_000;
+
   /** Milliseconds left for the process to end. */
   private static final long EXIT_MILLIS = 500;
 
@@ -109,11 +112,12 @@
   }
 
   /**
-   * Starts all that a caller does not wait for: statements between VMs, readiness and metrics.
-   * Apart from {@link #start}, so that after a restart callers are served a tenth of a second
-   * sooner.
+   * Starts what a caller does not wait for: statements between VMs, readiness and metrics. Callers
+   * whose connections wait after a restart are served first, so this waits for the configuration,
+   * for a bounded time; it must not be called on the event loop.
    */
-  public void startAncillary() {
+  public void startAncillary() throws InterruptedException {
+    view.awaitConfiguration(ANCILLARY_DELAY_MILLIS);
     new PeerExchange(settings.vm(), settings.peers(), settings.seeds(), view, time)
         .start(loop, loops.onChannelClass(DatagramChannel.class, loop));
     serveReadiness();
--- a/gateway/src/main/java/org/ragworttide/gateway/settings/SettingsFile.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/settings/SettingsFile.java
@@ -1,20 +1,17 @@
 package org.ragworttide.gateway.settings;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.ragworttide.gateway.json.JsonTree;
 
 /** Reads a gateway's settings file, JSON with comments; stateless. */
 public final class SettingsFile {
-  private static final JsonMapper JSON =
-      JsonMapper.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
-
   private SettingsFile() {}
 
   /** The outcome of reading a settings file. */
@@ -39,10 +36,10 @@
   /** Reads and checks the text of a settings file; settings it doesn't know are ignored. */
   public static Result parse(String text) {
     try {
-      return new Result.Read(document(JSON.readTree(text)));
+      return new Result.Read(document(JsonTree.read(text.getBytes(StandardCharsets.UTF_8))));
     } catch (JsonProcessingException e) {
       return new Result.Refused(e.getOriginalMessage());
-    } catch (IllegalArgumentException e) {
+    } catch (IOException | IllegalArgumentException e) {
       return new Result.Refused(e.getMessage());
     }
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.placement.PeerLoads;
@@ -26,7 +28,7 @@
  * What the VM believes: the configuration, the upstreams and the zones taken out.
  *
  * <p>Invariant: the configuration in force never gives way to one of an older revision. Confined to
- * the event loop.
+ * the event loop, but for the wait for the first configuration.
  */
 public final class FleetView {
   private final Map<UpstreamId, Upstream> upstreams = new HashMap<>();
@@ -34,6 +36,7 @@
   private final PeerLoads peers = new PeerLoads();
   private final PromptIndex prompts = new PromptIndex();
   private final Set<ZoneId> evacuated = new HashSet<>();
+  private final CountDownLatch configured = new CountDownLatch(1);
   private Optional<Configuration> configuration = Optional.empty();
   private long configurationRevision;
   private RouteTable routes = new RouteTable(List.of());
@@ -57,9 +60,15 @@
     Map<ServiceName, ServicePolicy> named = new HashMap<>();
     next.services().forEach(service -> named.put(service.name(), service));
     policies = named;
+    configured.countDown();
     return true;
   }
 
+  /** Waits for the first configuration, for a bounded time; for use by any other thread. */
+  public void awaitConfiguration(long limitMillis) throws InterruptedException {
+    configured.await(limitMillis, TimeUnit.MILLISECONDS);
+  }
+
   /** Takes what an upstream publishes; a new start under a known id is a new upstream. */
   public void put(UpstreamEntry entry, long nowMillis) {
     Upstream known = upstreams.get(entry.id());
