Hold back requests that crash the upstreams that run them

A request whose answer breaks off is noted; if its upstream is then gone (refuses connections, or its entry goes) within 5 s, the crash counts against the request's content, and VMs tell each other. After two crashes it is refused as not run for 60 s, without Retry-After. Hashes are computed only after a break, or while there are suspects. Ruled out: the library's quarantine with an owner for each fingerprint: it needs the membership that does not run here.

--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -10,16 +10,15 @@
 import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.placement.PromptIndex;
+import org.ragworttide.coordination.quarantine.CrashSuspicions;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -47,12 +46,12 @@
   /** Periods between statements that name known VMs, and go to seeds not heard of. */
   private static final int INTRODUCTION_PERIODS = 6;
 
-  /** Statements that carry the same news of held prompts: two losses in a row are rare. */
-  private static final int NEWS_REPEATED = 3;
-
   /** Held prompts in a statement, ten bytes each: half of its bytes in a small fleet. */
   private static final int MAX_HOLDINGS = 32;
 
+  /** Crashes in a statement, fourteen bytes each: what ran on one upstream. */
+  private static final int MAX_CRASHES = 8;
+
   private static final long MILLIS_PER_SECOND = 1_000;
 
   private final VmId vm;
@@ -63,7 +62,8 @@
   private final long incarnation = System.currentTimeMillis();
   private final Random random = new Random();
   private final Map<InetSocketAddress, Long> heardAtMillis = new HashMap<>();
-  private final Deque<List<PromptIndex.Holding>> newsOfStatements = new ArrayDeque<>();
+  private final RepeatedNews<PromptIndex.Holding> holdings = new RepeatedNews<>(MAX_HOLDINGS);
+  private final RepeatedNews<CrashSuspicions.Crash> crashes = new RepeatedNews<>(MAX_CRASHES);
   private Channel channel;
   private long sequence;
 
@@ -136,6 +136,7 @@
             statement.inFlight(),
             now);
     statement.holdings().forEach(holding -> view.prompts().heard(holding, now));
+    statement.crashes().forEach(crash -> view.crashes().heard(crash, now));
     for (InetSocketAddress known : statement.known()) {
       if (!known.equals(address)) {
         heardAtMillis.putIfAbsent(known, now - FORGET_MILLIS / 2);
@@ -185,18 +186,14 @@
             });
     sequence++;
     List<InetSocketAddress> known = introduces() ? someKnown() : List.of();
-    return new PeerStatement(vm, incarnation, sequence, known, inFlight, holdings());
-  }
-
-  /** Returns news of held prompts, each told in several statements, since any may be lost. */
-  private List<PromptIndex.Holding> holdings() {
-    newsOfStatements.addLast(view.prompts().takeNews());
-    if (newsOfStatements.size() > NEWS_REPEATED) {
-      newsOfStatements.removeFirst();
-    }
-    List<PromptIndex.Holding> all = new ArrayList<>();
-    newsOfStatements.descendingIterator().forEachRemaining(all::addAll);
-    return all.subList(0, Math.min(MAX_HOLDINGS, all.size()));
+    return new PeerStatement(
+        vm,
+        incarnation,
+        sequence,
+        known,
+        inFlight,
+        holdings.next(view.prompts().takeNews()),
+        crashes.next(view.crashes().takeNews()));
   }
 
   private boolean introduces() {
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
@@ -14,13 +14,15 @@
 import java.util.Optional;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.placement.PromptIndex;
+import org.ragworttide.coordination.quarantine.CrashSuspicions;
 
 /**
  * What a VM tells another: its requests at each upstream and the VMs that it knows.
  *
  * <p>In protobuf's encoding: 1 name, 2 incarnation, 3 sequence, 4 addresses of VMs (IPv4 and port),
  * 5 upstream keys, 6 requests, in the keys' order, 7 prompt parts, 8 the engines that hold them, in
- * the parts' order. Immutable, safe for use by any thread.
+ * the parts' order, 9 fingerprints of requests, 10 the upstreams that crashed while running them,
+ * in the requests' order. Immutable, safe for use by any thread.
  *
  * @param vm the VM that speaks
  * @param incarnation tells its runs apart
@@ -28,6 +30,7 @@
  * @param known addresses of VMs that it has heard of lately
  * @param inFlight its requests by upstream key
  * @param holdings prompt parts that engines have read lately for it
+ * @param crashes upstreams that crashed lately while running its requests
  */
 record PeerStatement(
     VmId vm,
@@ -35,7 +38,8 @@
     long sequence,
     List<InetSocketAddress> known,
     Map<Integer, Integer> inFlight,
-    List<PromptIndex.Holding> holdings) {
+    List<PromptIndex.Holding> holdings,
+    List<CrashSuspicions.Crash> crashes) {
   private static final int VM = 1;
   private static final int INCARNATION = 2;
   private static final int SEQUENCE = 3;
@@ -44,12 +48,15 @@
   private static final int COUNT = 6;
   private static final int PART = 7;
   private static final int HOLDER = 8;
+  private static final int FINGERPRINT = 9;
+  private static final int CRASHED = 10;
   private static final int IPV4_BYTES = 4;
 
   PeerStatement {
     known = List.copyOf(known);
     inFlight = Map.copyOf(inFlight);
     holdings = List.copyOf(holdings);
+    crashes = List.copyOf(crashes);
   }
 
   byte[] encode() {
@@ -70,6 +77,10 @@
         out.writeFixed32(PART, holding.part());
         out.writeFixed32(HOLDER, holding.engine());
       }
+      for (CrashSuspicions.Crash crash : crashes) {
+        out.writeFixed64(FINGERPRINT, crash.fingerprint());
+        out.writeFixed32(CRASHED, crash.upstream());
+      }
       out.flush();
     } catch (IOException e) {
       throw new IllegalStateException("a byte array takes all bytes", e);
@@ -87,7 +98,9 @@
     Map<Integer, Integer> inFlight = new HashMap<>();
     List<PromptIndex.Holding> holdings = new ArrayList<>();
     int key = 0;
+    List<CrashSuspicions.Crash> crashes = new ArrayList<>();
     int part = 0;
+    long fingerprint = 0;
     try {
       for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
         switch (WireFormat.getTagFieldNumber(tag)) {
@@ -99,11 +112,14 @@
           case COUNT -> inFlight.put(key, in.readUInt32());
           case PART -> part = in.readFixed32();
           case HOLDER -> holdings.add(new PromptIndex.Holding(part, in.readFixed32()));
+          case FINGERPRINT -> fingerprint = in.readFixed64();
+          case CRASHED -> crashes.add(new CrashSuspicions.Crash(fingerprint, in.readFixed32()));
           default -> in.skipField(tag);
         }
       }
       return Optional.of(
-          new PeerStatement(new VmId(name), incarnation, sequence, known, inFlight, holdings));
+          new PeerStatement(
+              new VmId(name), incarnation, sequence, known, inFlight, holdings, crashes));
     } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/CallerRequest.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/CallerRequest.java
@@ -7,6 +7,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.ByteBuffer;
+import java.util.zip.CRC32C;
+import org.ragworttide.coordination.hash.Rendezvous;
 
 /**
  * A caller's request, whole.
@@ -21,6 +24,20 @@
 public record CallerRequest(
     HttpRequest http, RequestHead head, ByteBuf body, long receivedAtMillis) {
 
+  /**
+   * Returns a hash of what the request asks for, the same when a caller sends it again.
+   *
+   * @param organisation the caller's organisation, empty on open routes
+   */
+  long fingerprint(String organisation) {
+    CRC32C content = new CRC32C();
+    for (ByteBuffer piece : body.nioBuffers()) {
+      content.update(piece);
+    }
+    long text = Rendezvous.hash(http.method() + " " + http.uri() + " " + organisation);
+    return Rendezvous.weight(text, content.getValue() << Integer.SIZE ^ body.readableBytes());
+  }
+
   /** Returns the request for an upstream, with the headers given and a share of the body. */
   FullHttpRequest forwarded(HttpHeaders headers) {
     ByteBuf copy = body.retainedDuplicate();
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -17,6 +17,7 @@
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.placement.OutlierDetector;
 import org.ragworttide.coordination.placement.Prompt;
+import org.ragworttide.coordination.quarantine.CrashSuspicions;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.gateway.model.Organisation;
 import org.ragworttide.gateway.model.Route;
@@ -148,6 +149,11 @@
 
   private void place() {
     long now = context.time().nowMillis();
+    CrashSuspicions crashes = context.view().crashes();
+    if (!crashes.isEmpty() && crashes.isHeldBack(fingerprint(), now)) {
+      giveUp(Refusal.HELD_BACK, "upstreams crashed that ran it");
+      return;
+    }
     Optional<Upstream> chosen =
         context.placement().choose(service, request.head().prompt(), tried, now);
     if (chosen.isEmpty()) {
@@ -163,15 +169,21 @@
   }
 
   private void giveUp(String cause) {
+    giveUp(tried.isEmpty() ? Refusal.NO_UPSTREAM : Refusal.UPSTREAMS_FULL, cause);
+  }
+
+  private void giveUp(Refusal unsent, String cause) {
     if (answer.isBegun()) {
       abort(cause);
-    } else if (possibleRuns > 0) {
-      refuse(Refusal.UPSTREAM_FAILED, cause);
     } else {
-      refuse(tried.isEmpty() ? Refusal.NO_UPSTREAM : Refusal.UPSTREAMS_FULL, cause);
+      refuse(possibleRuns > 0 ? Refusal.UPSTREAM_FAILED : unsent, cause);
     }
   }
 
+  private long fingerprint() {
+    return request.fingerprint(organisation.map(Organisation::name).orElse(""));
+  }
+
   private boolean canTryAgain() {
     return attempts < route.maxAttempts()
         && leftMillis() >= LEAST_ATTEMPT_MILLIS
@@ -336,7 +348,7 @@
       end();
       long now = context.time().nowMillis();
       context.placement().outliers(service).unreachable(id, now);
-      context.view().prompts().forget(upstream.load().key());
+      context.view().crashed(upstream, now);
       context.telemetry().attemptFailed(request.head().id(), id, reason, elapsedMillis());
       unreachable++;
       if (unreachable < MAX_UNREACHABLE && leftMillis() >= LEAST_ATTEMPT_MILLIS) {
@@ -464,6 +476,8 @@
     public void broken(String reason) {
       if (!ended) {
         end();
+        long now = context.time().nowMillis();
+        context.view().crashes().brokenOff(fingerprint(), upstream.runKey(), now);
         failed(reason);
       }
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Refusal.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Refusal.java
@@ -17,6 +17,8 @@
   NO_ROUTE(HttpResponseStatus.NOT_FOUND),
   /** The key is unknown. */
   UNKNOWN_KEY(HttpResponseStatus.UNAUTHORIZED),
+  /** The request has crashed upstreams that ran it. */
+  HELD_BACK(HttpResponseStatus.SERVICE_UNAVAILABLE),
   /** No upstream can take the request. */
   NO_UPSTREAM(HttpResponseStatus.SERVICE_UNAVAILABLE),
   /** The upstreams said that they have not run the request. */
@@ -40,6 +42,6 @@
 
   /** Tells whether the caller may come back. */
   boolean isReturnable() {
-    return status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    return this != HELD_BACK && status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
@@ -36,6 +36,11 @@
     return load;
   }
 
+  /** Returns a key of this run of the upstream, which VMs tell each other. */
+  public int runKey() {
+    return load.key() ^ Long.hashCode(entry.bornMillis());
+  }
+
   /** Tells whether the entry is of this run of the upstream. */
   public boolean isSameRun(UpstreamEntry other) {
     return other.service().equals(entry.service())
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetFacts.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetFacts.java
@@ -131,7 +131,7 @@
 
   private void remove(UpstreamId id, String reason) {
     removals.remove(id);
-    view.remove(id);
+    view.remove(id, time.nowMillis());
     EventLog.log(LogEvent.UPSTREAM_REMOVED, id, reason);
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -15,6 +15,7 @@
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.placement.PeerLoads;
 import org.ragworttide.coordination.placement.PromptIndex;
+import org.ragworttide.coordination.quarantine.CrashSuspicions;
 import org.ragworttide.gateway.model.CallerLimits;
 import org.ragworttide.gateway.model.Configuration;
 import org.ragworttide.gateway.model.Organisation;
@@ -35,6 +36,7 @@
   private final Map<ServiceName, List<Upstream>> byService = new HashMap<>();
   private final PeerLoads peers = new PeerLoads();
   private final PromptIndex prompts = new PromptIndex();
+  private final CrashSuspicions crashes = new CrashSuspicions();
   private final Set<ZoneId> evacuated = new HashSet<>();
   private final CountDownLatch configured = new CountDownLatch(1);
   private Optional<Configuration> configuration = Optional.empty();
@@ -76,18 +78,18 @@
       known.update(entry, nowMillis);
       return;
     }
-    remove(entry.id());
+    remove(entry.id(), nowMillis);
     Upstream added = new Upstream(entry, peers, nowMillis);
     upstreams.put(entry.id(), added);
     byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(added);
   }
 
   /** Takes the upstream out, which is gone. */
-  public void remove(UpstreamId id) {
+  public void remove(UpstreamId id, long nowMillis) {
     Upstream gone = upstreams.remove(id);
     if (gone != null) {
       byService.get(gone.entry().service()).remove(gone);
-      prompts.forget(gone.load().key());
+      crashed(gone, nowMillis);
       gone.close();
     }
   }
@@ -142,6 +144,17 @@
     return prompts;
   }
 
+  /** Returns which requests are suspected of crashing upstreams. */
+  public CrashSuspicions crashes() {
+    return crashes;
+  }
+
+  /** Takes that an upstream refuses connections: it has lost what it held and what it ran. */
+  public void crashed(Upstream upstream, long nowMillis) {
+    prompts.forget(upstream.load().key());
+    crashes.gone(upstream.runKey(), nowMillis);
+  }
+
   /** Returns all upstreams. */
   public Collection<Upstream> upstreams() {
     return Collections.unmodifiableCollection(upstreams.values());
