--- a/coordination/src/main/java/org/ragworttide/coordination/placement/PeerLoads.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/PeerLoads.java
@@ -20,6 +20,7 @@
 
   private final Map<VmId, Statement> statements = new HashMap<>();
   private final Map<Integer, Integer> totals = new HashMap<>();
+  private int known;
 
   private record Statement(
       long incarnation, long sequence, Map<Integer, Integer> inFlight, long atMillis) {}
@@ -67,9 +68,22 @@
     return totals.getOrDefault(key, 0);
   }
 
-  /** Returns how many VMs are heard of, this one included. */
+  /** Sets how many other VMs are known, of which some may not have been heard for a while. */
+  public void known(int vms) {
+    known = vms;
+  }
+
+  /**
+   * Returns how many VMs share what is bounded for the fleet, this one included. In a large fleet a
+   * VM hears each other one so rarely that most are silent at any time; they count all the same.
+   */
   public int fleetSize() {
-    return statements.size() + 1;
+    return Math.max(known, statements.size()) + 1;
+  }
+
+  /** Tells whether the load that other VMs state is known. */
+  public boolean isHeard() {
+    return !statements.isEmpty();
   }
 
   /** Returns the key of an upstream in statements, given the hash of its id. */
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
@@ -139,7 +139,7 @@
   /** Returns the requests believed to be at the upstream, those of other VMs included. */
   public int estimate(long nowMillis) {
     int told = inFlight + peers.inFlight(key());
-    long lifetime = peers.fleetSize() > 1 ? FRESH_REPORT_MILLIS : REPORT_LIFETIME_MILLIS;
+    long lifetime = peers.isHeard() ? FRESH_REPORT_MILLIS : REPORT_LIFETIME_MILLIS;
     if (nowMillis - reportedAtMillis > lifetime) {
       return told;
     }
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/PeerLoadsTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/PeerLoadsTest.java
@@ -63,4 +63,29 @@
     assertEquals(loads.inFlight(7), 2);
     assertEquals(loads.fleetSize(), 2);
   }
+
+  @Test
+  public void vmsThatWereNotHeardLatelyStillShareTheFleetsBounds() {
+    PeerLoads loads = new PeerLoads();
+    loads.heard(new VmId("a"), 1, 1, Map.of(), 1_000);
+    loads.known(76);
+    loads.expire(10_000);
+    assertEquals(loads.fleetSize(), 77);
+  }
+
+  @Test
+  public void coldEngineOfLargeFleetGetsItsBoundFromAllVmsTogether() {
+    PeerLoads loads = new PeerLoads();
+    loads.known(76);
+    ColdAllowance cold = new ColdAllowance(loads);
+    cold.coldUntil(10_000);
+    int sent = 0;
+    for (long now = 0; now < 10_000; now += 10) {
+      if (cold.admits(now)) {
+        cold.sent(now);
+        sent++;
+      }
+    }
+    assertEquals(sent, 2);
+  }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -37,8 +37,11 @@
   /** Bytes a second that a VM spends on statements: the target for control traffic. */
   private static final int BYTES_PER_SECOND = 4_096;
 
-  /** Milliseconds after which a silent VM is no longer told anything. */
-  private static final long FORGET_MILLIS = 10_000;
+  /**
+   * Milliseconds after which a silent VM counts no more and is told nothing: in a fleet of a
+   * hundred a VM hears from each other one about every fifteen seconds.
+   */
+  private static final long FORGET_MILLIS = 30_000;
 
   /** Addresses in a statement: enough to find all VMs of a small fleet at once. */
   private static final int MAX_KNOWN = 16;
@@ -157,6 +160,7 @@
               }
               return silent;
             });
+    view.peers().known(heardAtMillis.size());
     byte[] statement = statement().encode();
     int allowed = (int) (BYTES_PER_SECOND * PERIOD_MILLIS / MILLIS_PER_SECOND / statement.length);
     List<InetSocketAddress> to = new ArrayList<>(heardAtMillis.keySet());
