--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -37,11 +37,11 @@
   /** Requests that a choice in another zone must save: a body between zones costs as much. */
   private static final int OTHER_ZONE_REQUESTS = 2;
 
-  /** Requests that a choice must save which has to fetch the prompt first. */
-  private static final int FETCH_REQUESTS = 4;
+  /** The same if it has to fetch the prompt first: its memory is priced like many bodies. */
+  private static final int FETCH_REQUESTS = 8;
 
-  /** The same for the engine that the session's hash names: there a restarted VM looks for it. */
-  private static final int HOME_FETCH_REQUESTS = 1;
+  /** The same for the engine that the hash of the session names: a restarted VM looks there. */
+  private static final int HOME_FETCH_REQUESTS = 3;
 
   /** Milliseconds between the starts of engines that may have started together. */
   private static final long JOINED_TOGETHER_MILLIS = 10_000;
