Let two VMs read the store and pass its changes on

Ruled out: longer waits (a call ends at each change) and reads that may be stale (a tenth of the price, but seconds old).

Change: ChangeLog, FeedTree and FeedController in coordination decide from whom a VM receives the changes; gateway.feed carries them over TCP; the adapter reads the store only while the feed asks for it. Statements name zone, known VMs with the age of the last sign of life, and the revision.

FeedControllerTest replays kills, power loss, refusals, silence, cuts, a bridge, storms and outages at 7, 95 and 345 VMs.

--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/feed/ChangeBatch.java
@@ -0,0 +1,42 @@
+package org.ragworttide.coordination.feed;
+
+import java.util.List;
+
+/**
+ * The changes of the store between two revisions, or the whole contents of the store at a revision.
+ *
+ * <p>Invariant: no change is newer than the batch's revision, unless the batch is a listing, whose
+ * pages may contain later writes. Immutable, safe for use by any thread.
+ *
+ * @param afterRevision the revision that a VM must know to apply the changes; 0 for a listing
+ * @param revision the revision that a VM knows after it has applied the changes
+ * @param listing whether the batch is a listing: items that it lacks do not exist
+ * @param changes the newest change of each key
+ * @param listingGraceMillis the grace period of the deletions that follow from a listing
+ */
+public record ChangeBatch(
+    long afterRevision,
+    long revision,
+    boolean listing,
+    List<Change> changes,
+    long listingGraceMillis) {
+
+  /** Checks the revisions. */
+  public ChangeBatch {
+    if (afterRevision < 0 || revision < afterRevision || listingGraceMillis < 0) {
+      throw new IllegalArgumentException(
+          "revision " + revision + " does not follow " + afterRevision);
+    }
+    changes = List.copyOf(changes);
+  }
+
+  /** Returns the changes after a revision. */
+  public static ChangeBatch changes(long afterRevision, long revision, List<Change> changes) {
+    return new ChangeBatch(afterRevision, revision, false, changes, 0);
+  }
+
+  /** Returns the whole contents of the store at a revision. */
+  public static ChangeBatch listing(long revision, List<Change> items, long graceMillis) {
+    return new ChangeBatch(0, revision, true, items, graceMillis);
+  }
+}
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -89,7 +89,9 @@
   /** The first message of another VM has arrived. */
   PEER_HEARD(7201, Level.INFO, "first message of VM %s received from %s"),
   /** No message of another VM has arrived for 30 s. */
-  PEER_LOST(7202, Level.INFO, "no message from VM at %s for %s ms");
+  PEER_LOST(7202, Level.INFO, "no message from VM at %s for %s ms"),
+  /** The VM receives the store's changes from another source. */
+  FEED_SOURCE(7203, Level.INFO, "changes received from %s after revision %s");
 
   private final int number;
   private final Level level;
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -9,12 +9,15 @@
 import java.net.InetSocketAddress;
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
+import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
 import org.ragworttide.daemon.metrics.MetricsText;
 import org.ragworttide.gateway.caller.CallerConnections;
 import org.ragworttide.gateway.caller.CallerServer;
+import org.ragworttide.gateway.feed.ChangeFeed;
+import org.ragworttide.gateway.feed.FeedAddress;
 import org.ragworttide.gateway.peer.PeerExchange;
 import org.ragworttide.gateway.relay.Placement;
 import org.ragworttide.gateway.relay.RelayContext;
@@ -84,6 +87,7 @@
   private final FleetView view = new FleetView();
   private final CallerConnections connections = new CallerConnections();
   private final RelayContext context;
+  private final ChangeFeed feed;
 
   /** Creates a gateway that is not listening yet. */
   public Gateway(GatewaySettings settings, HeaderCodec headerCodec, LoopResources loops) {
@@ -91,6 +95,10 @@
     this.loops = loops;
     this.loop = loops.onClient(true).next();
     this.time = new LoopTimer(loop);
+    FeedMember self =
+        new FeedMember(
+            FeedAddress.number(settings.peers()), FeedMember.zoneKey(settings.zone().value()));
+    this.feed = new ChangeFeed(self, settings.seeds(), time);
     UpstreamConnector connector =
         new UpstreamConnector(
             loop, loops.onChannelClass(SocketChannel.class, loop), headerCodec, time::nowMillis);
@@ -113,6 +121,11 @@
     return view;
   }
 
+  /** Returns the changes of the store, for use on the event loop. */
+  public ChangeFeed feed() {
+    return feed;
+  }
+
   /** Returns the clock and timers of the event loop. */
   public TimerService time() {
     return time;
@@ -136,7 +149,12 @@
    */
   public void startAuxiliaryServices() throws InterruptedException {
     view.awaitConfiguration(MAX_READINESS_DELAY_MILLIS);
-    new PeerExchange(settings.vm(), settings.peers(), settings.seeds(), view, time)
+    feed.start(
+        loop,
+        loops.onChannelClass(ServerSocketChannel.class, loop),
+        loops.onChannelClass(SocketChannel.class, loop),
+        settings.peers());
+    new PeerExchange(settings, view, feed, time)
         .start(loop, loops.onChannelClass(DatagramChannel.class, loop));
     serveReadiness();
     settings.metrics().ifPresent(this::serveMetrics);
--- /dev/null
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeListener.java
@@ -0,0 +1,13 @@
+package org.ragworttide.gateway.feed;
+
+import org.ragworttide.coordination.feed.Change;
+
+/** Receives the changes of the store, from the store or another VM. Called on the event loop. */
+public interface ChangeListener {
+
+  /** Applies a change that is newer than any applied change of its key. */
+  void apply(Change change);
+
+  /** Records that another VM, from which this one receives the changes, reads the store. */
+  void recordStoreContact();
+}
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -16,12 +16,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.quarantine.CrashSuspicions;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
+import org.ragworttide.gateway.GatewaySettings;
+import org.ragworttide.gateway.feed.ChangeFeed;
+import org.ragworttide.gateway.feed.FeedAddress;
 import org.ragworttide.gateway.view.FleetView;
 
 /**
@@ -38,7 +43,7 @@
   private static final int BYTES_PER_SECOND = 4_096;
 
   /**
-   * Milliseconds without a statement after which a peer is removed: in a fleet of a hundred, a VM
+   * Milliseconds after which a peer that no VM has heard is removed: in a fleet of a hundred, a VM
    * receives a statement from each peer about every fifteen seconds.
    */
   private static final long PEER_TIMEOUT_MILLIS = 30_000;
@@ -52,6 +57,12 @@
    */
   private static final int DISCOVERY_PERIODS = 6;
 
+  /**
+   * Milliseconds after a start, and after a VM was discovered, in which each statement includes
+   * addresses: all VMs of a large fleet, started together, then know each other within seconds.
+   */
+  private static final long DISCOVERY_MILLIS = 3_000;
+
   /** Cached prompt parts in a statement, ten bytes each: half of its size in a small fleet. */
   private static final int MAX_HOLDINGS = 32;
 
@@ -70,32 +81,36 @@
   private final TimerService time;
   private final long incarnation = System.currentTimeMillis();
   private final Random random = new Random();
-  private final Map<InetSocketAddress, Long> lastReceivedAtMillis = new HashMap<>();
+  private final ZoneId zone;
+  private final ChangeFeed feed;
+  private final Map<InetSocketAddress, KnownPeer> peers = new HashMap<>();
   private final RepeatedItems<PromptIndex.Holding> holdings = new RepeatedItems<>(MAX_HOLDINGS);
   private final RepeatedItems<CrashSuspicions.Crash> crashes = new RepeatedItems<>(MAX_CRASHES);
   private Channel channel;
   private long sequence;
+  private long discoveredAtMillis;
+  private boolean membersChanged;
+
+  private record KnownPeer(FeedMember member, long heardAtMillis) {}
 
   /**
    * Creates an exchange that is not listening yet.
    *
-   * @param vm this VM
-   * @param address the address on which it listens
-   * @param seeds addresses of some VMs, which may no longer exist
+   * @param settings this VM, the address on which it listens and addresses of some VMs
    * @param view the VM's view of the fleet
+   * @param feed the changes of the store, which receives the known VMs
    * @param time the clock and timers of the event loop
    */
   public PeerExchange(
-      VmId vm,
-      InetSocketAddress address,
-      List<InetSocketAddress> seeds,
-      FleetView view,
-      TimerService time) {
-    this.vm = vm;
-    this.address = address;
-    this.seeds = List.copyOf(seeds);
+      GatewaySettings settings, FleetView view, ChangeFeed feed, TimerService time) {
+    this.vm = settings.vm();
+    this.zone = settings.zone();
+    this.address = settings.peers();
+    this.seeds = settings.seeds();
     this.view = view;
+    this.feed = feed;
     this.time = time;
+    this.discoveredAtMillis = time.nowMillis();
   }
 
   /** Starts listening and broadcasting. */
@@ -134,9 +149,11 @@
       return;
     }
     long now = time.nowMillis();
-    if (lastReceivedAtMillis.put(sender, now) == null) {
+    FeedMember member = new FeedMember(FeedAddress.number(sender), statement.zoneKey());
+    if (isNews(sender, new KnownPeer(member, now))) {
       EventLog.log(LogEvent.PEER_HEARD, statement.vm(), sender);
     }
+    feed.recordPeerRevision(statement.revision());
     view.peers()
         .recordStatement(
             statement.vm(),
@@ -146,31 +163,53 @@
             now);
     statement.holdings().forEach(holding -> view.prompts().recordPeerHolding(holding, now));
     statement.crashes().forEach(crash -> view.crashes().recordReportedCrash(crash, now));
-    for (InetSocketAddress known : statement.known()) {
-      if (!known.equals(address)) {
-        lastReceivedAtMillis.putIfAbsent(known, now - PEER_TIMEOUT_MILLIS / 2);
+    for (PeerStatement.KnownVm known : statement.known()) {
+      InetSocketAddress knownAddress = FeedAddress.address(known.member().address());
+      long heardAtMillis = now - known.silentSeconds() * MILLIS_PER_SECOND;
+      if (!knownAddress.equals(address) && now - heardAtMillis < PEER_TIMEOUT_MILLIS) {
+        isNews(knownAddress, new KnownPeer(known.member(), heardAtMillis));
       }
     }
   }
 
+  /** Records when a VM was last heard of; returns whether the VM was not known. */
+  private boolean isNews(InetSocketAddress vmAddress, KnownPeer heard) {
+    KnownPeer known = peers.get(vmAddress);
+    if (known != null && known.heardAtMillis() >= heard.heardAtMillis()) {
+      return false;
+    }
+    peers.put(vmAddress, heard);
+    if (known == null) {
+      discoveredAtMillis = time.nowMillis();
+    }
+    membersChanged |= known == null || !known.member().equals(heard.member());
+    return known == null;
+  }
+
   private void broadcast() {
     long now = time.nowMillis();
     view.peers().expire(now);
-    lastReceivedAtMillis
+    peers
         .entrySet()
         .removeIf(
             entry -> {
-              boolean expired = now - entry.getValue() > PEER_TIMEOUT_MILLIS;
+              long silentMillis = now - entry.getValue().heardAtMillis();
+              boolean expired = silentMillis > PEER_TIMEOUT_MILLIS;
               if (expired) {
-                EventLog.log(LogEvent.PEER_LOST, entry.getKey(), now - entry.getValue());
+                EventLog.log(LogEvent.PEER_LOST, entry.getKey(), silentMillis);
+                membersChanged = true;
               }
               return expired;
             });
-    view.peers().setKnownPeers(lastReceivedAtMillis.size());
+    view.peers().setKnownPeers(peers.size());
+    if (membersChanged) {
+      membersChanged = false;
+      feed.setMembers(peers.values().stream().map(KnownPeer::member).toList());
+    }
     byte[] statement = nextStatement().encode();
     int maxRecipients =
         (int) (BYTES_PER_SECOND * PERIOD_MILLIS / MILLIS_PER_SECOND / statement.length);
-    List<InetSocketAddress> recipients = new ArrayList<>(lastReceivedAtMillis.keySet());
+    List<InetSocketAddress> recipients = new ArrayList<>(peers.keySet());
     Collections.shuffle(recipients, random);
     for (InetSocketAddress peer :
         recipients.subList(0, Math.min(recipients.size(), Math.max(1, maxRecipients)))) {
@@ -178,7 +217,7 @@
     }
     if (isDiscoveryPeriod()) {
       seeds.stream()
-          .filter(seed -> !seed.equals(address) && !lastReceivedAtMillis.containsKey(seed))
+          .filter(seed -> !seed.equals(address) && !peers.containsKey(seed))
           .forEach(seed -> send(statement, seed));
     }
   }
@@ -197,12 +236,15 @@
               }
             });
     sequence++;
-    List<InetSocketAddress> known = isDiscoveryPeriod() ? sampleKnownPeers() : List.of();
+    boolean discovers =
+        isDiscoveryPeriod() || time.nowMillis() - discoveredAtMillis < DISCOVERY_MILLIS;
     return new PeerStatement(
         vm,
         incarnation,
         sequence,
-        known,
+        FeedMember.zoneKey(zone.value()),
+        feed.revision(),
+        discovers ? sampleKnownPeers() : List.of(),
         inFlight,
         holdings.next(view.prompts().drainNewHoldings()),
         crashes.next(view.crashes().drainNewCrashes()));
@@ -212,9 +254,15 @@
     return sequence % DISCOVERY_PERIODS == 1;
   }
 
-  private List<InetSocketAddress> sampleKnownPeers() {
-    List<InetSocketAddress> known = new ArrayList<>(lastReceivedAtMillis.keySet());
+  private List<PeerStatement.KnownVm> sampleKnownPeers() {
+    long now = time.nowMillis();
+    List<KnownPeer> known = new ArrayList<>(peers.values());
     Collections.shuffle(known, random);
-    return known.subList(0, Math.min(MAX_KNOWN_PEERS, known.size()));
+    return known.subList(0, Math.min(MAX_KNOWN_PEERS, known.size())).stream()
+        .map(
+            peer ->
+                new PeerStatement.KnownVm(
+                    peer.member(), (int) ((now - peer.heardAtMillis()) / MILLIS_PER_SECOND)))
+        .toList();
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
@@ -5,32 +5,35 @@
 import com.google.protobuf.WireFormat;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.quarantine.CrashSuspicions;
 
 /**
  * Statement that a VM sends to its peers: its requests in flight at each upstream, the VMs that it
- * knows, prompts that engines have cached and crashes of upstreams.
+ * knows, prompts that engines have cached, crashes of upstreams and the revision of the store that
+ * it knows.
  *
- * <p>The encoding is that of protobuf, with these fields: 1 name, 2 incarnation, 3 sequence, 4
- * addresses of VMs (IPv4 and port), 5 upstream keys, 6 requests, in the keys' order, 7 prompt
- * parts, 8 the engines that have cached them, in the parts' order, 9 fingerprints of requests, 10
- * the upstreams that crashed while running them, in the requests' order. Immutable, safe for use by
- * any thread.
+ * <p>The encoding is that of protobuf, with these fields: 1 name, 2 incarnation, 3 sequence, 5
+ * upstream keys, 6 requests, in the keys' order, 7 prompt parts, 8 the engines that have cached
+ * them, in the parts' order, 9 fingerprints of requests, 10 the upstreams that crashed while
+ * running them, in the requests' order, 11 zone key of the VM, 12 revision, 13 known VMs (8 bytes
+ * address, 4 bytes zone key, 1 byte seconds since it was heard). Immutable, safe for use by any
+ * thread.
  *
  * @param vm the VM that sends the statement
  * @param incarnation distinguishes the VM's process runs
  * @param sequence number of the statement, which grows within an incarnation
- * @param known addresses of VMs from which it has recently received statements or whose addresses
- *     it has received
+ * @param zoneKey the key of its availability zone
+ * @param revision the revision up to which it knows all changes of the store
+ * @param known some of the VMs that it knows
  * @param inFlight numbers of its requests in flight by upstream key
  * @param holdings prompt parts that engines have recently cached for its requests
  * @param crashes upstreams that recently crashed while running its requests
@@ -39,21 +42,37 @@
     VmId vm,
     long incarnation,
     long sequence,
-    List<InetSocketAddress> known,
+    int zoneKey,
+    long revision,
+    List<KnownVm> known,
     Map<Integer, Integer> inFlight,
     List<PromptIndex.Holding> holdings,
     List<CrashSuspicions.Crash> crashes) {
   private static final int VM = 1;
   private static final int INCARNATION = 2;
   private static final int SEQUENCE = 3;
-  private static final int KNOWN = 4;
   private static final int KEY = 5;
   private static final int COUNT = 6;
   private static final int PART = 7;
   private static final int HOLDER = 8;
   private static final int FINGERPRINT = 9;
   private static final int CRASHED = 10;
-  private static final int IPV4_BYTES = 4;
+  private static final int ZONE = 11;
+  private static final int REVISION = 12;
+  private static final int KNOWN = 13;
+  private static final int KNOWN_BYTES = Long.BYTES + Integer.BYTES + 1;
+  private static final int MAX_SILENT_SECONDS = 255;
+
+  /**
+   * A VM that the sender knows.
+   *
+   * <p>Immutable, safe for use by any thread.
+   *
+   * @param member its address and zone
+   * @param silentSeconds seconds since any VM has received a statement from it, as far as the
+   *     sender knows
+   */
+  record KnownVm(FeedMember member, int silentSeconds) {}
 
   PeerStatement {
     known = List.copyOf(known);
@@ -69,8 +88,10 @@
       out.writeString(VM, vm.value());
       out.writeUInt64(INCARNATION, incarnation);
       out.writeUInt64(SEQUENCE, sequence);
-      for (InetSocketAddress address : known) {
-        out.writeByteArray(KNOWN, bytes(address));
+      out.writeFixed32(ZONE, zoneKey);
+      out.writeUInt64(REVISION, revision);
+      for (KnownVm vm : known) {
+        out.writeByteArray(KNOWN, bytes(vm));
       }
       for (Map.Entry<Integer, Integer> entry : inFlight.entrySet()) {
         out.writeFixed32(KEY, entry.getKey());
@@ -97,7 +118,9 @@
     String name = "";
     long incarnation = 0;
     long sequence = 0;
-    List<InetSocketAddress> known = new ArrayList<>();
+    int zoneKey = 0;
+    long revision = 0;
+    List<KnownVm> known = new ArrayList<>();
     Map<Integer, Integer> inFlight = new HashMap<>();
     List<PromptIndex.Holding> holdings = new ArrayList<>();
     int key = 0;
@@ -110,7 +133,9 @@
           case VM -> name = in.readString();
           case INCARNATION -> incarnation = in.readUInt64();
           case SEQUENCE -> sequence = in.readUInt64();
-          case KNOWN -> known.add(address(in.readByteArray()));
+          case ZONE -> zoneKey = in.readFixed32();
+          case REVISION -> revision = in.readUInt64();
+          case KNOWN -> known.add(knownVm(in.readByteArray()));
           case KEY -> key = in.readFixed32();
           case COUNT -> inFlight.put(key, in.readUInt32());
           case PART -> part = in.readFixed32();
@@ -122,27 +147,33 @@
       }
       return Optional.of(
           new PeerStatement(
-              new VmId(name), incarnation, sequence, known, inFlight, holdings, crashes));
+              new VmId(name),
+              incarnation,
+              sequence,
+              zoneKey,
+              revision,
+              known,
+              inFlight,
+              holdings,
+              crashes));
     } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
   }
 
-  private static byte[] bytes(InetSocketAddress address) {
-    byte[] ip = address.getAddress().getAddress();
-    byte[] all = new byte[ip.length + 2];
-    System.arraycopy(ip, 0, all, 0, ip.length);
-    all[ip.length] = (byte) (address.getPort() >> Byte.SIZE);
-    all[ip.length + 1] = (byte) address.getPort();
-    return all;
+  private static byte[] bytes(KnownVm vm) {
+    return ByteBuffer.allocate(KNOWN_BYTES)
+        .putLong(vm.member().address())
+        .putInt(vm.member().zoneKey())
+        .put((byte) Math.min(MAX_SILENT_SECONDS, vm.silentSeconds()))
+        .array();
   }
 
-  private static InetSocketAddress address(byte[] bytes) throws IOException {
-    if (bytes.length != IPV4_BYTES + 2) {
-      throw new IOException("not an IPv4 address and port");
+  private static KnownVm knownVm(byte[] bytes) throws IOException {
+    if (bytes.length != KNOWN_BYTES) {
+      throw new IOException("a known VM takes " + KNOWN_BYTES + " bytes");
     }
-    byte[] ip = java.util.Arrays.copyOf(bytes, IPV4_BYTES);
-    int port = (bytes[IPV4_BYTES] & 0xff) << Byte.SIZE | bytes[IPV4_BYTES + 1] & 0xff;
-    return new InetSocketAddress(InetAddress.getByAddress(ip), port);
+    ByteBuffer in = ByteBuffer.wrap(bytes);
+    return new KnownVm(new FeedMember(in.getLong(), in.getInt()), Byte.toUnsignedInt(in.get()));
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
@@ -39,6 +39,11 @@
     this.time = time;
   }
 
+  /** Returns whether a configuration is in force. */
+  public boolean isConfigured() {
+    return view.configuration().isPresent();
+  }
+
   /** Applies the configuration unless it is older than the current one. */
   public void applyConfiguration(Configuration configuration, long revision) {
     if (view.apply(configuration, revision)) {
@@ -67,17 +72,32 @@
    * during an outage.
    */
   public void withdrawUpstream(UpstreamId id) {
-    long now = time.nowMillis();
-    if (!catchingUp) {
+    withdrawUpstream(id, returnGraceMillis());
+  }
+
+  /**
+   * Removes an upstream whose entry was deleted.
+   *
+   * @param graceMillis milliseconds within which a running upstream publishes its entry again
+   *     because it may have expired during an outage; 0 if it was withdrawn
+   */
+  public void withdrawUpstream(UpstreamId id, long graceMillis) {
+    if (graceMillis <= 0) {
       remove(id, "withdrawn");
     } else if (!pendingRemovals.containsKey(id)) {
       pendingRemovals.put(
-          id,
-          time.after(
-              graceDeadlineMillis - now, () -> remove(id, "not published again after the outage")));
+          id, time.after(graceMillis, () -> remove(id, "not published again after the outage")));
     }
   }
 
+  /**
+   * Returns the milliseconds for which an entry whose deletion is read now may be published again;
+   * 0 unless the read is the first after an outage.
+   */
+  public long returnGraceMillis() {
+    return catchingUp ? Math.max(0, graceDeadlineMillis - time.nowMillis()) : 0;
+  }
+
   /** Withdraws all upstreams except those with the given ids. */
   public void retainUpstreams(Set<UpstreamId> ids) {
     Set<UpstreamId> missing = new HashSet<>();
@@ -130,6 +150,14 @@
     EventLog.log(LogEvent.STORE_REGAINED, revision, outageMillis);
   }
 
+  /**
+   * Records that another VM reads the store and sends its changes, with the grace periods of those
+   * that it has read after an outage.
+   */
+  public void recordStoreContact() {
+    storeLostAtMillis = -1;
+  }
+
   /** Records that all changes made during the outage have been applied. */
   public void completeCatchUp() {
     catchingUp = false;
