Cut off bytes without end and requests whose callers have left

Status lines, headers, chunk extensions and trailers were bounded before.

A request starts in a task of its own, if its connection is still open.

--- a/gateway/src/main/java/org/ragworttide/gateway/caller/CallerHandler.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/caller/CallerHandler.java
@@ -190,7 +190,18 @@
     if (connections.isRefusing()) {
       exchange.refuseStopping();
     } else {
-      exchange.start();
+      // On a VM that reads late, the caller may have left already: the end of its connection is
+      // read
+      // before the task runs.
+      Exchange received = exchange;
+      channel
+          .eventLoop()
+          .execute(
+              () -> {
+                if (channel.isActive()) {
+                  received.start();
+                }
+              });
     }
   }
 
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/CallerResponse.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/CallerResponse.java
@@ -67,12 +67,14 @@
     }
   }
 
-  /** Adds a chunk of the body. */
-  void add(ByteBuf chunk) {
+  /** Adds a chunk of the body; returns false if a stream has sent no event for too many bytes. */
+  boolean add(ByteBuf chunk) {
     if (stream) {
       events.add(chunk);
       sendBody(events.takeEvents());
-    } else if (begun) {
+      return !events.isEventTooLong();
+    }
+    if (begun) {
       sendBody(chunk);
     } else {
       buffered.addComponent(true, chunk);
@@ -80,6 +82,7 @@
         sendBody(buffered.readRetainedSlice(buffered.readableBytes()));
       }
     }
+    return true;
   }
 
   /**
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/EventSplitter.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/EventSplitter.java
@@ -12,6 +12,9 @@
  * the middle of an event can be continued. Confined to one thread.
  */
 final class EventSplitter {
+  /** Largest incomplete event: a thousand times a usual one. */
+  static final int MAX_EVENT_BYTES = 256 * 1_024;
+
   private static final byte LINE_FEED = '\n';
   private static final byte CARRIAGE_RETURN = '\r';
 
@@ -56,6 +59,11 @@
     return pending.isReadable();
   }
 
+  /** Returns whether the incomplete event is longer than any event may be. */
+  boolean isEventTooLong() {
+    return pending.readableBytes() > MAX_EVENT_BYTES;
+  }
+
   /** Discards the incomplete event, which the next attempt sends again. */
   void discardPartialEvent() {
     pending.clear();
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -336,7 +336,7 @@
       if (connection != null && cancel) {
         connection.cancel();
       } else if (connection != null) {
-        connection.detach();
+        connection.detach(remainingMillis());
       }
     }
 
@@ -399,7 +399,11 @@
         content.release();
         return;
       }
-      response.add(content);
+      if (!response.add(content)) {
+        connection.cancel();
+        responseFailed("no event within " + EventSplitter.MAX_EVENT_BYTES + " bytes");
+        return;
+      }
       if (!caller.isWritable()) {
         connection.setReading(false);
       }
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import org.ragworttide.gateway.HeaderCodec;
 import org.ragworttide.gateway.relay.ResponseMetadata;
 
@@ -35,6 +36,21 @@
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /**
+   * Bytes of other responses that are skipped while one response is awaited: several responses of
+   * plain services. An upstream in trouble may send bytes without end.
+   */
+  private static final long MAX_SKIPPED_BYTES = 256 * 1_024;
+
+  /** Interim responses that are skipped while one response is awaited; upstreams send none. */
+  private static final int MAX_INTERIM_RESPONSES = 16;
+
+  /** Milliseconds beyond its deadline in which an upstream may end an abandoned response. */
+  private static final long DETACHED_MILLIS = 1_000;
+
+  /** Longest time for which an abandoned response is awaited if its request has no deadline. */
+  private static final long MAX_DETACHED_MILLIS = 60_000;
+
   private final Upstream upstream;
   private final HeaderCodec headerCodec;
   private final java.util.function.LongSupplier clock;
@@ -46,6 +62,8 @@
   private boolean keepAlive;
   private boolean failed;
   private boolean bodySent;
+  private long skippedBytes;
+  private int interimResponses;
   private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
   private long idleSinceMillis;
 
@@ -66,6 +84,8 @@
     skipping = false;
     detached = false;
     bodySent = false;
+    skippedBytes = 0;
+    interimResponses = 0;
     channel.writeAndFlush(request).addListener(done -> bodySent = done.isSuccess());
   }
 
@@ -80,9 +100,25 @@
     close();
   }
 
-  /** Ignores the response but lets the upstream complete the request. */
-  public void detach() {
+  /**
+   * Ignores the response but lets the upstream complete the request, and closes the connection if
+   * it has not done so soon after its deadline.
+   *
+   * @param remainingMillis milliseconds until the upstream's deadline
+   */
+  public void detach(long remainingMillis) {
     detached = true;
+    AttemptListener receiver = listener;
+    channel
+        .eventLoop()
+        .schedule(
+            () -> {
+              if (detached && listener == receiver) {
+                close();
+              }
+            },
+            Math.clamp(remainingMillis, 0, MAX_DETACHED_MILLIS) + DETACHED_MILLIS,
+            TimeUnit.MILLISECONDS);
   }
 
   void close() {
@@ -121,6 +157,10 @@
     }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       skipping = true;
+      interimResponses++;
+      if (interimResponses > MAX_INTERIM_RESPONSES) {
+        fail("more than " + MAX_INTERIM_RESPONSES + " interim responses");
+      }
       return;
     }
     ResponseMetadata metadata = headerCodec.readResponse(response);
@@ -142,6 +182,13 @@
       return;
     }
     boolean last = content instanceof LastHttpContent;
+    if (skipping || detached) {
+      skippedBytes += content.content().readableBytes();
+      if (skippedBytes > MAX_SKIPPED_BYTES) {
+        fail("more than " + MAX_SKIPPED_BYTES + " bytes of other responses");
+        return;
+      }
+    }
     if (skipping) {
       skipping = !last;
       return;
