--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -72,6 +72,15 @@
    */
   private static final int MAX_CRASHES = 8;
 
+  /**
+   * Number of VMs above which a broadcast reaches {@link #MAX_SAMPLED_PEERS} random ones: no budget
+   * would let statements of all reach all within a second, and each costs processor time.
+   */
+  private static final int SMALL_FLEET_VMS = 16;
+
+  /** Statements that a VM of a large fleet sends and receives in a period. */
+  private static final int MAX_SAMPLED_PEERS = 2;
+
   private static final long MILLIS_PER_SECOND = 1_000;
 
   private final VmId vm;
@@ -216,6 +225,10 @@
     byte[] statement = nextStatement().encode();
     int maxRecipients =
         (int) (BYTES_PER_SECOND * PERIOD_MILLIS / MILLIS_PER_SECOND / statement.length);
+    boolean isDiscovering = now - discoveredAtMillis < DISCOVERY_MILLIS;
+    if (peers.size() > SMALL_FLEET_VMS && !isDiscovering) {
+      maxRecipients = Math.min(maxRecipients, MAX_SAMPLED_PEERS);
+    }
     List<KnownPeer> recipients = sample(Math.max(1, maxRecipients));
     recipients.forEach(peer -> send(statement, peer.address()));
     if (isDiscoveryPeriod()) {
