--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
@@ -1,9 +1,7 @@
 package org.ragworttide.gateway.view;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.time.TimerService;
@@ -98,14 +96,6 @@
     return catchingUp ? Math.max(0, graceDeadlineMillis - time.nowMillis()) : 0;
   }
 
-  /** Withdraws all upstreams except those with the given ids. */
-  public void retainUpstreams(Set<UpstreamId> ids) {
-    Set<UpstreamId> missing = new HashSet<>();
-    view.upstreams().forEach(it -> missing.add(it.entry().id()));
-    missing.removeAll(ids);
-    missing.forEach(this::withdrawUpstream);
-  }
-
   /** Evacuates an availability zone. */
   public void evacuateZone(ZoneId zone) {
     if (view.evacuate(zone)) {
@@ -120,13 +110,6 @@
     }
   }
 
-  /** Evacuates the given availability zones and restores all others. */
-  public void setEvacuatedZones(Set<ZoneId> zones) {
-    new HashSet<>(view.evacuatedZones())
-        .stream().filter(zone -> !zones.contains(zone)).forEach(this::restoreZone);
-    zones.forEach(this::evacuateZone);
-  }
-
   /** Records that the store cannot be read. */
   public void recordStoreFailure(String reason) {
     if (storeLostAtMillis < 0) {
--- a/gateway/src/test/java/org/ragworttide/gateway/view/FleetViewUpdaterTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/view/FleetViewUpdaterTest.java
@@ -5,7 +5,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Set;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.time.ManualTimerService;
@@ -61,7 +60,7 @@
     updater.recordStoreFailure("down");
     time.advance(5_000);
     updater.recordStoreRead(9);
-    updater.retainUpstreams(Set.of());
+    updater.withdrawUpstream(ID);
     updater.completeCatchUp();
     assertEquals(view.availableUpstreams(SERVICE).size(), 1);
     time.advance(1_000);
@@ -78,7 +77,7 @@
     updater.recordStoreFailure("down");
     time.advance(5_000);
     updater.recordStoreRead(9);
-    updater.retainUpstreams(Set.of());
+    updater.withdrawUpstream(ID);
     updater.completeCatchUp();
     time.advance(2_100);
     assertTrue(view.availableUpstreams(SERVICE).isEmpty());
@@ -113,7 +112,7 @@
     updater.putUpstream(entry(false, 1));
     updater.evacuateZone(new ZoneId("z"));
     assertTrue(view.availableUpstreams(SERVICE).isEmpty());
-    updater.setEvacuatedZones(Set.of());
+    updater.restoreZone(new ZoneId("z"));
     assertEquals(view.availableUpstreams(SERVICE).size(), 1);
   }
 
