Log the crashes of upstreams and what they count against

The logs did not show which crashes a VM counts, for which requests, nor which reports arrive, so the three hypotheses could not be told apart. RWT7301 and RWT7302 show it; decisions are unchanged.

--- a/coordination/src/main/java/org/ragworttide/coordination/quarantine/CrashSuspicions.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/quarantine/CrashSuspicions.java
@@ -48,7 +48,12 @@
    * @param fingerprint the hash of the request's content, computed by the caller
    * @param upstream identifies the run of the upstream that crashed
    */
-  public record Crash(long fingerprint, int upstream) {}
+  public record Crash(long fingerprint, int upstream) {
+    @Override
+    public String toString() {
+      return "%016x at %08x".formatted(fingerprint, upstream);
+    }
+  }
 
   private record BrokenAnswer(long fingerprint, long atMillis) {}
 
@@ -76,23 +81,28 @@
   /**
    * Records that the upstream is gone; the requests whose answers it recently broke off may have
    * crashed it.
+   *
+   * @return the crashes that count against these requests
    */
-  public void recordUpstreamGone(int upstream, long nowMillis) {
+  public List<Crash> recordUpstreamGone(int upstream, long nowMillis) {
     List<BrokenAnswer> candidates = brokenAnswers.remove(upstream);
     if (candidates == null) {
-      return;
+      return List.of();
     }
+    List<Crash> counted = new ArrayList<>();
     for (BrokenAnswer request : candidates) {
       Crash crash = new Crash(request.fingerprint(), upstream);
       if (nowMillis - request.atMillis() < CONFIRM_MILLIS && addCrash(crash, nowMillis)) {
-        unreportedCrashes.add(crash);
+        counted.add(crash);
       }
     }
+    unreportedCrashes.addAll(counted);
+    return counted;
   }
 
-  /** Records a crash that another VM reported. */
-  public void recordReportedCrash(Crash crash, long nowMillis) {
-    addCrash(crash, nowMillis);
+  /** Records a crash that another VM reported; returns whether it was not known. */
+  public boolean recordReportedCrash(Crash crash, long nowMillis) {
+    return addCrash(crash, nowMillis);
   }
 
   /** Returns whether there is no suspected request, so that requests need not be hashed. */
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -91,7 +91,11 @@
   /** No message of another VM has arrived for 30 s. */
   PEER_LOST(7202, Level.INFO, "no message from VM at %s for %s ms"),
   /** The VM receives the store's changes from another source. */
-  FEED_SOURCE(7203, Level.INFO, "changes received from %s after revision %s");
+  FEED_SOURCE(7203, Level.INFO, "changes received from %s after revision %s"),
+  /** An upstream crashed while it ran requests of this VM. */
+  UPSTREAM_CRASHED(7301, Level.INFO, "upstream %s crashed, counted against %s"),
+  /** Another VM has reported that an upstream crashed while it ran the VM's requests. */
+  CRASH_REPORTED(7302, Level.INFO, "VM %s reports a crash, counted against %s");
 
   private final int number;
   private final Level level;
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -175,7 +175,7 @@
             statement.inFlight(),
             now);
     statement.holdings().forEach(holding -> view.prompts().recordPeerHolding(holding, now));
-    statement.crashes().forEach(crash -> view.crashes().recordReportedCrash(crash, now));
+    statement.crashes().forEach(crash -> view.recordReportedCrash(statement.vm(), crash, now));
     long ownNumber = FeedAddress.number(address);
     for (PeerStatement.KnownVm known : statement.known()) {
       long heardAtMillis = now - known.silentSeconds() * MILLIS_PER_SECOND;
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -12,10 +12,13 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.placement.PeerLoads;
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.quarantine.CrashSuspicions;
+import org.ragworttide.daemon.log.EventLog;
+import org.ragworttide.daemon.log.LogEvent;
 import org.ragworttide.gateway.model.CallerLimits;
 import org.ragworttide.gateway.model.Configuration;
 import org.ragworttide.gateway.model.Organisation;
@@ -164,7 +167,18 @@
    */
   public void recordCrash(Upstream upstream, long nowMillis) {
     prompts.removeEngine(upstream.load().key());
-    crashes.recordUpstreamGone(upstream.incarnationKey(), nowMillis);
+    List<CrashSuspicions.Crash> counted =
+        crashes.recordUpstreamGone(upstream.incarnationKey(), nowMillis);
+    if (!counted.isEmpty()) {
+      EventLog.log(LogEvent.UPSTREAM_CRASHED, upstream.entry().id(), counted);
+    }
+  }
+
+  /** Records a crash that another VM reported. */
+  public void recordReportedCrash(VmId reporter, CrashSuspicions.Crash crash, long nowMillis) {
+    if (crashes.recordReportedCrash(crash, nowMillis)) {
+      EventLog.log(LogEvent.CRASH_REPORTED, reporter, crash);
+    }
   }
 
   /** Returns all upstreams. */
