Hold back requests that share a prompt part which crashes engines

Callers saw streams aborted and 502 for 22 s: requests of one kind crashed one engine after the other, each with all answers that it was giving.

Cause: a crash was counted against the whole content of a request. The VM also learned of a crash only from later traffic (median 0.8 to 1.0 s, up to 3.6 s), and a report that a VM received was not passed on, so at 95 VMs six knew of it.

Change: the unanswered requests of a crash are reported with their content and all shared parts of their prompt; what the requests of successive crashes have in common is quarantined, answers clear it (CrashCauses, CrashSuspicions). A connection finds out whether the upstream is gone (CrashCheck); reports are passed on and repeated while they matter (SuspicionGossip). A trial ends the quarantine. Only a refused connection counts as a crash, not silence.

CrashSuspicionsTest: its cases are kept with the new types; the request that may run again after a quarantine now does so as a trial. All of ./build verify passes.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/Prompt.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/Prompt.java
@@ -47,6 +47,11 @@
     return parts.size() < MIN_PARTS_WITH_REQUEST_PART ? parts : parts.subList(0, parts.size() - 1);
   }
 
+  /** Returns the parts that requests of other sessions may contain too: all except the last. */
+  public List<PromptPart> partsBeforeLast() {
+    return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+  }
+
   /**
    * Returns the part that identifies the session for affinity: the last but one, because the last
    * part may belong to the request alone, or the last part if there are fewer than three.
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -71,7 +71,8 @@
   RELAY_PLACED(
       7007,
       Level.INFO,
-      "request %s placed at %s, load %s, own %s, of %s upstreams, session %s, prompt %s from %s"),
+      "request %s placed at %s, load %s, own %s, of %s upstreams, session %s, prompt %s from %s,"
+          + " shared parts %s"),
   /** Lines of an event were omitted to limit the log volume. */
   LINES_LEFT_OUT(7008, Level.INFO, "%s lines of %s omitted"),
   /** An upstream was added or changed. */
@@ -95,7 +96,11 @@
   /** An upstream crashed while it ran requests of this VM. */
   UPSTREAM_CRASHED(7301, Level.INFO, "upstream %s crashed, counted against %s"),
   /** Another VM has reported that an upstream crashed while it ran the VM's requests. */
-  CRASH_REPORTED(7302, Level.INFO, "VM %s reports a crash, counted against %s");
+  CRASH_REPORTED(7302, Level.INFO, "VM %s reports a crash, counted against %s"),
+  /** Requests are held back because of what they contain. */
+  QUARANTINE_STARTED(7303, Level.WARN, "requests with %s quarantined after %s crashes"),
+  /** A quarantine has ended, or another cause explains its crashes. */
+  QUARANTINE_ENDED(7304, Level.INFO, "requests with %s no longer quarantined");
 
   private final int number;
   private final Level level;
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.ragworttide.gateway.feed.ChangeFeed;
 import org.ragworttide.gateway.feed.FeedAddress;
 import org.ragworttide.gateway.peer.PeerExchange;
+import org.ragworttide.gateway.relay.CrashCheck;
 import org.ragworttide.gateway.relay.Placement;
 import org.ragworttide.gateway.relay.RelayContext;
 import org.ragworttide.gateway.relay.RetryBudgets;
@@ -102,6 +103,7 @@
     UpstreamConnector connector =
         new UpstreamConnector(
             loop, loops.onChannelClass(SocketChannel.class, loop), headerCodec, time::nowMillis);
+    Placement placement = new Placement(view, settings.zone());
     this.context =
         new RelayContext(
             loop,
@@ -109,7 +111,8 @@
             view,
             headerCodec,
             connector,
-            new Placement(view, settings.zone()),
+            placement,
+            new CrashCheck(view, connector, placement, time),
             new RetryBudgets(settings.retryRatio(), settings.retrySlack()),
             new Telemetry(new MetricRegistry(), time),
             new SplittableRandom(),
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -20,7 +20,6 @@
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.placement.PromptIndex;
-import org.ragworttide.coordination.quarantine.CrashSuspicions;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -66,12 +65,6 @@
   /** Cached prompt parts in a statement, ten bytes each: half of its size in a small fleet. */
   private static final int MAX_HOLDINGS = 32;
 
-  /**
-   * Crashes in a statement, fourteen bytes each: one for each request that ran on a crashed
-   * upstream.
-   */
-  private static final int MAX_CRASHES = 8;
-
   /**
    * Number of VMs above which a broadcast reaches {@link #MAX_SAMPLED_PEERS} random ones: no budget
    * would let statements of all reach all within a second, and each costs processor time.
@@ -94,7 +87,6 @@
   private final ChangeFeed feed;
   private final Map<Long, KnownPeer> peers = new HashMap<>();
   private final RepeatedItems<PromptIndex.Holding> holdings = new RepeatedItems<>(MAX_HOLDINGS);
-  private final RepeatedItems<CrashSuspicions.Crash> crashes = new RepeatedItems<>(MAX_CRASHES);
   private Channel channel;
   private long sequence;
   private long discoveredAtMillis;
@@ -175,7 +167,7 @@
             statement.inFlight(),
             now);
     statement.holdings().forEach(holding -> view.prompts().recordPeerHolding(holding, now));
-    statement.crashes().forEach(crash -> view.recordReportedCrash(statement.vm(), crash, now));
+    view.recordPeerSuspicions(statement.vm(), statement.suspicions().moveTimes(now), now);
     long ownNumber = FeedAddress.number(address);
     for (PeerStatement.KnownVm known : statement.known()) {
       long heardAtMillis = now - known.silentSeconds() * MILLIS_PER_SECOND;
@@ -252,8 +244,8 @@
               }
             });
     sequence++;
-    boolean discovers =
-        isDiscoveryPeriod() || time.nowMillis() - discoveredAtMillis < DISCOVERY_MILLIS;
+    long now = time.nowMillis();
+    boolean discovers = isDiscoveryPeriod() || now - discoveredAtMillis < DISCOVERY_MILLIS;
     return new PeerStatement(
         vm,
         incarnation,
@@ -263,7 +255,7 @@
         discovers ? sampleKnownPeers() : List.of(),
         inFlight,
         holdings.next(view.prompts().drainNewHoldings()),
-        crashes.next(view.crashes().drainNewCrashes()));
+        view.crashes().nextStatement(now).moveTimes(-now));
   }
 
   private boolean isDiscoveryPeriod() {
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
@@ -14,19 +14,22 @@
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.placement.PromptIndex;
-import org.ragworttide.coordination.quarantine.CrashSuspicions;
+import org.ragworttide.coordination.quarantine.Clearance;
+import org.ragworttide.coordination.quarantine.CrashReport;
+import org.ragworttide.coordination.quarantine.SuspicionStatement;
 
 /**
  * Statement that a VM sends to its peers: its requests in flight at each upstream, the VMs that it
- * knows, prompts that engines have cached, crashes of upstreams and the revision of the store that
- * it knows.
+ * knows, prompts that engines have cached, what it suspects of crashing upstreams and the revision
+ * of the store that it knows.
  *
  * <p>The encoding is that of protobuf, with these fields: 1 name, 2 incarnation, 3 sequence, 5
  * upstream keys, 6 requests, in the keys' order, 7 prompt parts, 8 the engines that have cached
- * them, in the parts' order, 9 fingerprints of requests, 10 the upstreams that crashed while
- * running them, in the requests' order, 11 zone key of the VM, 12 revision, 13 known VMs (8 bytes
- * address, 4 bytes zone key, 1 byte seconds since it was heard). Immutable, safe for use by any
- * thread.
+ * them, in the parts' order, 11 zone key of the VM, 12 revision, 13 known VMs (8 bytes address, 4
+ * bytes zone key, 1 byte seconds since it was heard), 14 crashes (4 bytes suspect, 4 bytes
+ * upstream, 2 bytes age of the break in units of 10 ms, 2 bytes milliseconds from the sending of
+ * the request to the break), 15 clearances (4 bytes suspect, 2 bytes age in units of 10 ms). Fields
+ * 9 and 10 are those of earlier builds. Immutable, safe for use by any thread.
  *
  * @param vm the VM that sends the statement
  * @param incarnation distinguishes the VM's process runs
@@ -36,7 +39,8 @@
  * @param known some of the VMs that it knows
  * @param inFlight numbers of its requests in flight by upstream key
  * @param holdings prompt parts that engines have recently cached for its requests
- * @param crashes upstreams that recently crashed while running its requests
+ * @param suspicions what it suspects of crashing upstreams; the times are relative to that of the
+ *     statement, thus negative
  */
 record PeerStatement(
     VmId vm,
@@ -47,7 +51,7 @@
     List<KnownVm> known,
     Map<Integer, Integer> inFlight,
     List<PromptIndex.Holding> holdings,
-    List<CrashSuspicions.Crash> crashes) {
+    SuspicionStatement suspicions) {
   private static final int VM = 1;
   private static final int INCARNATION = 2;
   private static final int SEQUENCE = 3;
@@ -55,11 +59,11 @@
   private static final int COUNT = 6;
   private static final int PART = 7;
   private static final int HOLDER = 8;
-  private static final int FINGERPRINT = 9;
-  private static final int CRASHED = 10;
   private static final int ZONE = 11;
   private static final int REVISION = 12;
   private static final int KNOWN = 13;
+  private static final int CRASH = 14;
+  private static final int CLEARANCE = 15;
   private static final int KNOWN_BYTES = Long.BYTES + Integer.BYTES + 1;
   private static final int MAX_SILENT_SECONDS = 255;
 
@@ -78,7 +82,6 @@
     known = List.copyOf(known);
     inFlight = Map.copyOf(inFlight);
     holdings = List.copyOf(holdings);
-    crashes = List.copyOf(crashes);
   }
 
   byte[] encode() {
@@ -101,9 +104,11 @@
         out.writeFixed32(PART, holding.part());
         out.writeFixed32(HOLDER, holding.engine());
       }
-      for (CrashSuspicions.Crash crash : crashes) {
-        out.writeFixed64(FINGERPRINT, crash.fingerprint());
-        out.writeFixed32(CRASHED, crash.upstream());
+      for (CrashReport report : suspicions.reports()) {
+        out.writeByteArray(CRASH, SuspicionCodec.bytes(report));
+      }
+      for (Clearance clearance : suspicions.clearances()) {
+        out.writeByteArray(CLEARANCE, SuspicionCodec.bytes(clearance));
       }
       out.flush();
     } catch (IOException e) {
@@ -124,9 +129,9 @@
     Map<Integer, Integer> inFlight = new HashMap<>();
     List<PromptIndex.Holding> holdings = new ArrayList<>();
     int key = 0;
-    List<CrashSuspicions.Crash> crashes = new ArrayList<>();
+    List<CrashReport> crashes = new ArrayList<>();
+    List<Clearance> clearances = new ArrayList<>();
     int part = 0;
-    long fingerprint = 0;
     try {
       for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
         switch (WireFormat.getTagFieldNumber(tag)) {
@@ -140,8 +145,8 @@
           case COUNT -> inFlight.put(key, in.readUInt32());
           case PART -> part = in.readFixed32();
           case HOLDER -> holdings.add(new PromptIndex.Holding(part, in.readFixed32()));
-          case FINGERPRINT -> fingerprint = in.readFixed64();
-          case CRASHED -> crashes.add(new CrashSuspicions.Crash(fingerprint, in.readFixed32()));
+          case CRASH -> crashes.add(SuspicionCodec.report(in.readByteArray()));
+          case CLEARANCE -> clearances.add(SuspicionCodec.clearance(in.readByteArray()));
           default -> in.skipField(tag);
         }
       }
@@ -155,7 +160,7 @@
               known,
               inFlight,
               holdings,
-              crashes));
+              new SuspicionStatement(crashes, clearances)));
     } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -17,12 +17,15 @@
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.placement.OutlierDetector;
 import org.ragworttide.coordination.placement.Prompt;
+import org.ragworttide.coordination.quarantine.Admission;
+import org.ragworttide.coordination.quarantine.CrashCause;
 import org.ragworttide.coordination.quarantine.CrashSuspicions;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.gateway.model.Organisation;
 import org.ragworttide.gateway.model.Route;
 import org.ragworttide.gateway.model.ServiceName;
 import org.ragworttide.gateway.upstream.AttemptListener;
+import org.ragworttide.gateway.upstream.ConnectFailure;
 import org.ragworttide.gateway.upstream.Upstream;
 import org.ragworttide.gateway.upstream.UpstreamConnection;
 
@@ -44,6 +47,12 @@
   /** Milliseconds between checks for the first configuration. */
   private static final long CONFIGURATION_CHECK_MILLIS = 20;
 
+  /**
+   * Milliseconds after the first bytes of an answer in which a break may be a crash that the
+   * request has caused: such requests crash an upstream when it begins to answer them.
+   */
+  private static final long ANSWER_START_MILLIS = 500;
+
   /** Milliseconds that must remain until the deadline for another attempt. */
   private static final long MIN_ATTEMPT_MILLIS = 100;
 
@@ -54,6 +63,7 @@
   private final Set<UpstreamId> tried = new HashSet<>();
   private Route route;
   private ServiceName service;
+  private RequestSuspects suspects;
   private Optional<Organisation> organisation = Optional.empty();
   private long deadlineAtMillis = Long.MAX_VALUE;
   private int attempts;
@@ -90,6 +100,8 @@
       return;
     }
     service = route.service(Rendezvous.hash(request.metadata().id()));
+    suspects =
+        new RequestSuspects(request, service, organisation.map(Organisation::name).orElse(""));
     context.retries().recordRequest(service);
     startDeadlineTimer();
     place();
@@ -155,9 +167,11 @@
 
   private void place() {
     long now = context.time().nowMillis();
-    CrashSuspicions crashes = context.view().crashes();
-    if (!crashes.isEmpty() && crashes.isQuarantined(fingerprint(), now)) {
-      refuseOrAbort(Refusal.HELD_BACK, "upstreams crashed while running this request");
+    if (admit(now) instanceof Admission.HeldBack heldBack) {
+      CrashCause cause = heldBack.cause();
+      refuseOrAbort(
+          Refusal.HELD_BACK,
+          "requests with " + cause.description() + " crashed " + cause.crashes() + " upstreams");
       return;
     }
     Optional<Upstream> chosen =
@@ -178,7 +192,8 @@
             availableUpstreams,
             now,
             prompt,
-            fetchSource);
+            fetchSource,
+            suspects.parts());
     attempt = new Attempt(chosen.get(), fetchSource.map(it -> it.entry().address()));
     attempt.begin();
   }
@@ -195,8 +210,9 @@
     }
   }
 
-  private long fingerprint() {
-    return request.fingerprint(organisation.map(Organisation::name).orElse(""));
+  private Admission admit(long nowMillis) {
+    CrashSuspicions crashes = context.view().crashes();
+    return crashes.isEmpty() ? new Admission.Admitted() : crashes.admit(suspects.all(), nowMillis);
   }
 
   private boolean canRetry() {
@@ -258,6 +274,7 @@
     private ResponseMetadata metadata;
     private HttpResponseStatus status;
     private long sentAtMillis;
+    private OptionalLong answerBegunAtMillis = OptionalLong.empty();
     private boolean ended;
 
     private Attempt(Upstream upstream, Optional<InetSocketAddress> fetchSource) {
@@ -359,17 +376,16 @@
     }
 
     @Override
-    public void connectFailed(String reason) {
+    public void connectFailed(ConnectFailure failure) {
       if (ended) {
         return;
       }
       end();
-      long now = context.time().nowMillis();
-      context.placement().outlierDetector(service).recordUnreachable(upstreamId, now);
-      context.view().recordCrash(upstream, now);
+      context.crashCheck().recordFailure(service, upstream, failure);
       context
           .telemetry()
-          .recordFailedAttempt(request.metadata().id(), upstreamId, reason, elapsedMillis());
+          .recordFailedAttempt(
+              request.metadata().id(), upstreamId, failure.reason(), elapsedMillis());
       unreachableUpstreams++;
       if (unreachableUpstreams < MAX_UNREACHABLE_UPSTREAMS
           && remainingMillis() >= MIN_ATTEMPT_MILLIS) {
@@ -399,6 +415,9 @@
         content.release();
         return;
       }
+      if (answerBegunAtMillis.isEmpty()) {
+        answerBegunAtMillis = OptionalLong.of(context.time().nowMillis());
+      }
       if (!response.add(content)) {
         connection.cancel();
         responseFailed("no event within " + EventSplitter.MAX_EVENT_BYTES + " bytes");
@@ -450,11 +469,16 @@
 
     private void deliver() {
       if (!response.end()) {
+        suspectCrash();
         handleFailure("stream ended in the middle of an event");
         return;
       }
       recordOutcome(true, "");
       long now = context.time().nowMillis();
+      if (isSuccess()) {
+        boolean anySuspects = !context.view().crashes().isEmpty();
+        context.view().recordAnswer(anySuspects ? suspects.all() : suspects.parts(), now);
+      }
       upstream.load().recordDuration(now - sentAtMillis, now);
       context
           .telemetry()
@@ -515,12 +539,26 @@
     public void responseFailed(String reason) {
       if (!ended) {
         end();
-        long now = context.time().nowMillis();
-        context.view().crashes().recordBrokenAnswer(fingerprint(), upstream.incarnationKey(), now);
+        suspectCrash();
         handleFailure(reason);
       }
     }
 
+    /**
+     * Records a break that may be a crash that the request has caused, and checks whether it is.
+     */
+    private void suspectCrash() {
+      long now = context.time().nowMillis();
+      if (answerBegunAtMillis.isEmpty()
+          || now - answerBegunAtMillis.getAsLong() < ANSWER_START_MILLIS) {
+        context
+            .view()
+            .crashes()
+            .recordBrokenAnswer(suspects.all(), upstream.incarnationKey(), sentAtMillis, now);
+        context.crashCheck().start(service, upstream);
+      }
+    }
+
     private void handleFailure(String reason) {
       recordOutcome(false, reason);
       response.reset();
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
@@ -18,6 +18,7 @@
  * @param headerCodec decodes and encodes headers
  * @param connector opens connections to upstreams
  * @param placement chooses upstreams
+ * @param crashCheck finds out whether upstreams have crashed
  * @param retries limits retries
  * @param telemetry updates metrics and logs events
  * @param random randomizes the delays after which refused callers may retry
@@ -30,6 +31,7 @@
     HeaderCodec headerCodec,
     UpstreamConnector connector,
     Placement placement,
+    CrashCheck crashCheck,
     RetryBudgets retries,
     Telemetry telemetry,
     SplittableRandom random,
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
@@ -2,12 +2,14 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.placement.Prompt;
 import org.ragworttide.coordination.placement.UpstreamLoad;
+import org.ragworttide.coordination.quarantine.Suspect;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -50,7 +52,8 @@
       int availableUpstreams,
       long nowMillis,
       Optional<Prompt> prompt,
-      Optional<Upstream> fetchSource) {
+      Optional<Upstream> fetchSource,
+      List<Suspect> sharedParts) {
     log(
         LogEvent.RELAY_PLACED,
         requestId,
@@ -60,7 +63,8 @@
         availableUpstreams,
         prompt.map(Prompt::sessionLabel).orElse("none"),
         prompt.map(Prompt::inputTokens).orElse(0),
-        fetchSource.map(it -> it.entry().id().value()).orElse("none"));
+        fetchSource.map(it -> it.entry().id().value()).orElse("none"),
+        sharedParts);
   }
 
   void recordRefusal(String requestId, Refusal refusal, String cause, long elapsedMillis) {
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/AttemptListener.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/AttemptListener.java
@@ -11,7 +11,7 @@
 public interface AttemptListener {
 
   /** Called when no connection could be opened; no byte of the request has been sent. */
-  void connectFailed(String reason);
+  void connectFailed(ConnectFailure failure);
 
   /** Called when the status and headers of the response have been received. */
   void responseStarted(HttpResponse response, ResponseMetadata metadata);
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -121,6 +121,12 @@
             TimeUnit.MILLISECONDS);
   }
 
+  /** Keeps the connection, which has had no request yet, for later requests. */
+  void keepIdle() {
+    idleSinceMillis = clock.getAsLong();
+    upstream.putIdle(this);
+  }
+
   void close() {
     channel.close();
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
@@ -67,12 +67,31 @@
    * failed}.
    */
   public void connect(
-      Upstream upstream, Consumer<UpstreamConnection> opened, Consumer<String> failed) {
+      Upstream upstream, Consumer<UpstreamConnection> opened, Consumer<ConnectFailure> failed) {
     Optional<UpstreamConnection> idle = upstream.takeIdle(clock.getAsLong());
     if (idle.isPresent()) {
       opened.accept(idle.get());
-      return;
+    } else {
+      open(upstream, opened, failed);
     }
+  }
+
+  /**
+   * Checks by a new connection, which is kept for later requests, whether the upstream still
+   * listens.
+   */
+  public void check(Upstream upstream, Runnable listens, Consumer<ConnectFailure> failed) {
+    open(
+        upstream,
+        connection -> {
+          connection.keepIdle();
+          listens.run();
+        },
+        failed);
+  }
+
+  private void open(
+      Upstream upstream, Consumer<UpstreamConnection> opened, Consumer<ConnectFailure> failed) {
     UpstreamConnection connection = new UpstreamConnection(upstream, headerCodec, clock);
     ChannelFuture connecting =
         bootstrap
@@ -90,7 +109,7 @@
           if (done.isSuccess()) {
             opened.accept(connection);
           } else {
-            failed.accept(done.cause().getClass().getSimpleName());
+            failed.accept(ConnectFailure.of(done.cause()));
           }
         });
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.ragworttide.coordination.id.UpstreamId;
@@ -16,7 +17,10 @@
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.placement.PeerLoads;
 import org.ragworttide.coordination.placement.PromptIndex;
+import org.ragworttide.coordination.quarantine.CrashReport;
 import org.ragworttide.coordination.quarantine.CrashSuspicions;
+import org.ragworttide.coordination.quarantine.Suspect;
+import org.ragworttide.coordination.quarantine.SuspicionStatement;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
 import org.ragworttide.gateway.model.CallerLimits;
@@ -30,8 +34,8 @@
 
 /**
  * The VM's view of the fleet: the configuration, the upstreams, the evacuated availability zones,
- * the loads that other VMs report, the prompts that engines have cached and the requests that are
- * suspected of crashing upstreams.
+ * the loads that other VMs report, the prompts that engines have cached and what is suspected of
+ * crashing upstreams.
  *
  * <p>Invariant: the current configuration is never replaced by one of an older revision. Confined
  * to the event loop, except for {@link #awaitConfiguration}.
@@ -41,7 +45,8 @@
   private final Map<ServiceName, List<Upstream>> byService = new HashMap<>();
   private final PeerLoads peers = new PeerLoads();
   private final PromptIndex prompts = new PromptIndex();
-  private final CrashSuspicions crashes = new CrashSuspicions();
+  private final CrashSuspicions crashes =
+      new CrashSuspicions(peers::fleetSize, new SplittableRandom());
   private final Set<ZoneId> evacuatedZones = new HashSet<>();
   private final CountDownLatch configured = new CountDownLatch(1);
   private Optional<Configuration> configuration = Optional.empty();
@@ -156,28 +161,54 @@
     return prompts;
   }
 
-  /** Returns the requests that are suspected of crashing upstreams. */
+  /** Returns what is suspected of crashing upstreams. */
   public CrashSuspicions crashes() {
     return crashes;
   }
 
+  /** Records that an upstream cannot be reached: its cached prompts are probably lost. */
+  public void recordUnreachable(Upstream upstream) {
+    prompts.removeEngine(upstream.load().key());
+  }
+
   /**
    * Records that an upstream was removed or refuses connections: its cached prompts are lost, and
    * requests that it failed to answer shortly before may have crashed it.
    */
   public void recordCrash(Upstream upstream, long nowMillis) {
-    prompts.removeEngine(upstream.load().key());
-    List<CrashSuspicions.Crash> counted =
-        crashes.recordUpstreamGone(upstream.incarnationKey(), nowMillis);
+    recordUnreachable(upstream);
+    List<CrashReport> counted = crashes.recordUpstreamGone(upstream.incarnationKey(), nowMillis);
     if (!counted.isEmpty()) {
       EventLog.log(LogEvent.UPSTREAM_CRASHED, upstream.entry().id(), counted);
+      logQuarantineChanges();
+    }
+  }
+
+  /** Records what another VM states of suspects, with its times on this VM's clock. */
+  public void recordPeerSuspicions(VmId peer, SuspicionStatement statement, long nowMillis) {
+    for (CrashReport report : statement.reports()) {
+      crashes
+          .recordReport(report, nowMillis)
+          .ifPresent(counted -> EventLog.log(LogEvent.CRASH_REPORTED, peer, counted));
     }
+    statement.clearances().forEach(crashes::recordClearance);
+    logQuarantineChanges();
   }
 
-  /** Records a crash that another VM reported. */
-  public void recordReportedCrash(VmId reporter, CrashSuspicions.Crash crash, long nowMillis) {
-    if (crashes.recordReportedCrash(crash, nowMillis)) {
-      EventLog.log(LogEvent.CRASH_REPORTED, reporter, crash);
+  /** Records that a request was answered completely, which clears the suspects in it. */
+  public void recordAnswer(Collection<Suspect> suspects, long nowMillis) {
+    crashes.recordAnswer(suspects, nowMillis);
+    logQuarantineChanges();
+  }
+
+  private void logQuarantineChanges() {
+    for (CrashSuspicions.Change change : crashes.drainChanges()) {
+      if (change.begins()) {
+        EventLog.log(
+            LogEvent.QUARANTINE_STARTED, change.cause().description(), change.cause().crashes());
+      } else {
+        EventLog.log(LogEvent.QUARANTINE_ENDED, change.cause().description());
+      }
     }
   }
 
--- a/gateway/src/test/java/org/ragworttide/gateway/peer/PeerStatementTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/peer/PeerStatementTest.java
@@ -6,10 +6,14 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.placement.PromptIndex;
-import org.ragworttide.coordination.quarantine.CrashSuspicions;
+import org.ragworttide.coordination.quarantine.Clearance;
+import org.ragworttide.coordination.quarantine.CrashReport;
+import org.ragworttide.coordination.quarantine.Suspect;
+import org.ragworttide.coordination.quarantine.SuspicionStatement;
 import org.ragworttide.gateway.peer.PeerStatement.KnownVm;
 import org.testng.annotations.Test;
 
@@ -25,7 +29,11 @@
           List.of(new KnownVm(new FeedMember(1L << 47, 3), 200)),
           Map.of(5, 2),
           List.of(new PromptIndex.Holding(1, 5)),
-          List.of(new CrashSuspicions.Crash(1L << 63, 5)));
+          new SuspicionStatement(
+              List.of(
+                  new CrashReport(
+                      Set.of(new Suspect(-5), new Suspect(8)), 6, -599_990 - 65_535, -599_990)),
+              List.of(new Clearance(new Suspect(7), -20))));
 
   @Test
   public void decodedStatementEqualsTheEncodedOne() {
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -49,7 +49,7 @@
     private final List<String> events = new ArrayList<>();
 
     @Override
-    public void connectFailed(String reason) {
+    public void connectFailed(ConnectFailure failure) {
       events.add("unreachable");
     }
 
