--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -87,6 +87,8 @@
   STORE_LOST(7105, Level.WARN, "store unavailable: %s"),
   /** The store is available again. */
   STORE_REGAINED(7106, Level.INFO, "store available again at revision %s after %s ms"),
+  /** An upstream names another limit on requests, or none any more. */
+  REQUEST_LIMIT_NAMED(7107, Level.INFO, "upstream %s accepts %s requests per second"),
   /** The first message of another VM has arrived. */
   PEER_HEARD(7201, Level.INFO, "first message of VM %s received from %s"),
   /** No message of another VM has arrived for 30 s. */
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -406,6 +406,7 @@
                   upstream
                       .load()
                       .recordReport(it.running(), it.waiting(), context.time().nowMillis()));
+      upstream.recordRequestLimit(received.requestLimit());
       response.setHead(head, route.kind().isStream());
     }
 
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/ResponseMetadata.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/ResponseMetadata.java
@@ -1,6 +1,7 @@
 package org.ragworttide.gateway.relay;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * Metadata that the headers of an upstream's response carry.
@@ -13,9 +14,16 @@
  * @param encoded whether the body has a content encoding, which means that it has been changed on
  *     its way
  * @param load the upstream's load, if the response reports it
+ * @param requestLimit the requests per second that the upstream accepts from all VMs together, if
+ *     the response names a limit
  */
 public record ResponseMetadata(
-    String requestId, boolean hasReceipt, boolean notRun, boolean encoded, Optional<Load> load) {
+    String requestId,
+    boolean hasReceipt,
+    boolean notRun,
+    boolean encoded,
+    Optional<Load> load,
+    OptionalDouble requestLimit) {
 
   /**
    * Requests at an upstream.
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
@@ -3,8 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.ragworttide.coordination.placement.PeerLoads;
 import org.ragworttide.coordination.placement.UpstreamLoad;
+import org.ragworttide.daemon.log.EventLog;
+import org.ragworttide.daemon.log.LogEvent;
 import org.ragworttide.gateway.model.UpstreamEntry;
 
 /**
@@ -18,6 +21,7 @@
   private final UpstreamLoad load;
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
   private UpstreamEntry entry;
+  private OptionalDouble requestLimit = OptionalDouble.empty();
   private boolean closed;
 
   /** Creates an upstream without connections. */
@@ -59,6 +63,20 @@
     load.coldAllowance().setColdUntil(nowMillis + newer.coldRemainingMillis());
   }
 
+  /**
+   * Records the requests per second that the upstream accepts from all VMs together, as its newest
+   * answer names them; empty if it names none.
+   */
+  public void recordRequestLimit(OptionalDouble perSecond) {
+    if (!perSecond.equals(requestLimit)) {
+      requestLimit = perSecond;
+      EventLog.log(
+          LogEvent.REQUEST_LIMIT_NAMED,
+          entry.id(),
+          perSecond.isPresent() ? perSecond.getAsDouble() : "any number of");
+    }
+  }
+
   /** Closes the idle connections; a busy connection is closed when it becomes idle. */
   public void close() {
     closed = true;
--- a/gateway/src/test/java/org/ragworttide/gateway/PlainHeaderCodec.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/PlainHeaderCodec.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.ragworttide.gateway.relay.ForwardedMetadata;
 import org.ragworttide.gateway.relay.RequestMetadata;
@@ -42,6 +43,7 @@
         headers.contains("receipt"),
         headers.contains("not-run"),
         headers.contains("content-encoding"),
-        Optional.empty());
+        Optional.empty(),
+        OptionalDouble.empty());
   }
 }
