--- /dev/null
+++ b/review/1/CaseLateShed.java
@@ -0,0 +1,31 @@
+import java.util.List;
+
+/** A full server's refusal is sent a second time, at the point where the next answer of its channel is due. */
+final class CaseLateShed {
+  public static void main(String[] args) {
+    Review.run(
+        args,
+        review -> {
+          review.service("desk-app", false);
+          review.route("puxa403", "unsafe", false, 1_500, 1, "desk-app");
+          review.configure();
+          PlainServer[] garbling = new PlainServer[1];
+          garbling[0] =
+              new PlainServer(
+                  review, "i-1", "desk-app", 6, 4, 86, false, true,
+                  (answer, shed) ->
+                      shed && garbling[0].spoiled.get() + 1 <= 0.03 * garbling[0].answers.get() ? answer : "");
+          List<PlainServer> servers =
+              List.of(
+                  garbling[0],
+                  new PlainServer(review, "i-2", "desk-app", 6, 4, 86, false, true, (answer, shed) -> ""),
+                  new PlainServer(review, "i-3", "desk-app", 6, 4, 86, false, true, (answer, shed) -> ""));
+          review.startGateways(2);
+          List<Caller.Answer> answers = Bookings.send(review, 36, 15_000, 1_500);
+          if (answers.stream().noneMatch(it -> it.status() == 200)) {
+            throw new Review.CannotRun("no booking was served");
+          }
+          return Bookings.judge(review, answers, servers)[0] == 0;
+        });
+  }
+}
