--- a/review/standins/Review.java
+++ b/review/standins/Review.java
@@ -50,6 +50,7 @@
   private Review(Path folder) throws IOException {
     this.folder = folder;
     this.work = Files.createTempDirectory("review");
+    Runtime.getRuntime().addShutdownHook(new Thread(this::killGateways));
     this.record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
   }
 
@@ -212,9 +213,11 @@
       }
     }
 
-    void signal(String name) throws IOException, InterruptedException {
-      note("gateway " + ip + ": SIG" + name);
-      new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+    /** Stops the process with SIGTERM, as the platform does, and waits for its end. */
+    void stop() throws InterruptedException {
+      note("gateway " + ip + ": SIGTERM");
+      process.destroy();
+      process.waitFor();
     }
   }
 
@@ -278,6 +281,15 @@
     store.delete(Names.of("servers") + id);
   }
 
+  /** Ends all processes also where the case itself is ended. */
+  private void killGateways() {
+    for (Gateway gateway : gateways) {
+      if (gateway.process != null) {
+        gateway.process.destroyForcibly();
+      }
+    }
+  }
+
   @Override
   public void close() throws IOException {
     for (Gateway gateway : gateways) {
