--- a/review/1/CaseTornExtra.java
+++ b/review/1/CaseTornExtra.java
@@ -23,7 +23,7 @@
                   new PlainServer(review, "i-2", "desk-app", 6, 4, 86, true, false, (answer, shed) -> ""),
                   new PlainServer(review, "i-3", "desk-app", 6, 4, 86, true, false, (answer, shed) -> ""));
           review.startGateways(2);
-          List<Caller.Answer> answers = Bookings.send(review, 36, 15_000, 1_500);
+          List<Caller.Answer> answers = Bookings.send(review, 36, 25_000, 1_500);
           if (answers.stream().noneMatch(it -> it.status() == 200)) {
             throw new Review.CannotRun("no booking was served");
           }
