Keep torn extra responses apart from the next response

Cause: the check for bytes without a request in flight sat behind the HTTP codec, which keeps an incomplete head and joins it with the head of the next response.

Change: ResponseDecoder discards bytes that no response is expected for, which closes the connection; a connection whose decoder holds bytes after a response, or that carried another response, is not reused; ResponseFraming rejects a head with a second status line, for torn bytes that arrive after the next request has been sent.

UpstreamConnectionTest creates its upstream anew for each method: its methods depended on their order.

--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -4,14 +4,18 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.ragworttide.gateway.HeaderCodec;
 import org.ragworttide.gateway.relay.ResponseMetadata;
@@ -21,8 +25,8 @@
  *
  * <p>Invariant: a response reaches the listener only if it has the id of the listener's request, or
  * if it has no id and reports that the request has not run. A response to another request is
- * skipped completely, and bytes received without a request in flight close the connection. Confined
- * to the event loop.
+ * skipped completely. Bytes that belong to no request end the use of the connection: at once if no
+ * request is in flight, otherwise with the response. Confined to the event loop.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
   /** Share of the upstream's idle timeout after which the connection is not reused. */
@@ -54,10 +58,12 @@
   private final Upstream upstream;
   private final HeaderCodec headerCodec;
   private final java.util.function.LongSupplier clock;
+  private final ResponseDecoder decoder = new ResponseDecoder();
   private Channel channel;
   private AttemptListener listener;
   private String requestId = "";
   private boolean skipping;
+  private boolean otherResponses;
   private boolean detached;
   private boolean keepAlive;
   private boolean failed;
@@ -74,6 +80,11 @@
     this.clock = clock;
   }
 
+  /** Adds the connection and its HTTP codec to the pipeline of its channel. */
+  void addTo(ChannelPipeline pipeline) {
+    pipeline.addLast(new HttpRequestEncoder(), decoder, this);
+  }
+
   /** Sends a request and passes its response to the listener; the connection must be idle. */
   public void send(FullHttpRequest request, String id, AttemptListener receiver) {
     if (listener != null) {
@@ -86,6 +97,7 @@
     bodySent = false;
     skippedBytes = 0;
     interimResponses = 0;
+    decoder.expectResponse(request.method());
     channel.writeAndFlush(request).addListener(done -> bodySent = done.isSuccess());
   }
 
@@ -144,7 +156,7 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
       if (listener == null || failed) {
-        fail("unexpected bytes");
+        fail("unexpected response");
       } else if (message instanceof HttpResponse response) {
         handleHead(response);
       }
@@ -157,8 +169,9 @@
   }
 
   private void handleHead(HttpResponse response) {
-    if (response.decoderResult().isFailure()) {
-      fail("response is not HTTP");
+    Optional<String> error = ResponseFraming.error(response);
+    if (error.isPresent()) {
+      fail(error.get());
       return;
     }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -173,6 +186,7 @@
     boolean notRunWithoutId = metadata.requestId().isEmpty() && metadata.notRun();
     skipping = !metadata.requestId().equals(requestId) && !notRunWithoutId;
     if (skipping) {
+      otherResponses = true;
       return;
     }
     keepAlive = HttpUtil.isKeepAlive(response);
@@ -213,7 +227,9 @@
     requestId = "";
     idleSinceMillis = clock.getAsLong();
     channel.config().setAutoRead(true);
-    if (keepAlive && bodySent && channel.isActive()) {
+    decoder.endResponse();
+    boolean reusable = keepAlive && !otherResponses && !decoder.hasUndecodedBytes();
+    if (reusable && bodySent && channel.isActive()) {
       upstream.putIdle(this);
     } else if (bodySent || !channel.isActive()) {
       close();
@@ -240,7 +256,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    fail("connection failed: " + cause.getClass().getSimpleName());
+    fail(
+        cause instanceof CorruptedFrameException
+            ? cause.getMessage()
+            : "connection failed: " + cause.getClass().getSimpleName());
   }
 
   @Override
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
@@ -8,8 +8,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpObjectDecoder;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -35,8 +33,6 @@
   /** Seconds without traffic before the first keep-alive probe, and between probes. */
   private static final int KEEP_ALIVE_SECONDS = 1;
 
-  private static final int MAX_CHUNK_BYTES = 16_384;
-
   private final Bootstrap bootstrap;
   private final HeaderCodec headerCodec;
   private final LongSupplier clock;
@@ -100,7 +96,7 @@
                 new ChannelInitializer<>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(codec()).addLast(connection);
+                    connection.addTo(channel.pipeline());
                   }
                 })
             .connect(upstream.entry().address());
@@ -113,9 +109,4 @@
           }
         });
   }
-
-  private static HttpClientCodec codec() {
-    return new HttpClientCodec(
-        HttpObjectDecoder.DEFAULT_MAX_INITIAL_LINE_LENGTH, MAX_CHUNK_BYTES, MAX_CHUNK_BYTES);
-  }
 }
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -8,7 +8,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -17,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.placement.PeerLoads;
@@ -24,6 +24,8 @@
 import org.ragworttide.gateway.model.ServiceName;
 import org.ragworttide.gateway.model.UpstreamEntry;
 import org.ragworttide.gateway.relay.ResponseMetadata;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -31,19 +33,28 @@
  * another request, and when a connection is reused.
  */
 public class UpstreamConnectionTest {
-  private final Upstream upstream =
-      new Upstream(
-          new UpstreamEntry(
-              new UpstreamId("u"),
-              new ServiceName("s"),
-              new InetSocketAddress("127.0.0.1", 1),
-              new ZoneId("z"),
-              8,
-              false,
-              0,
-              0),
-          new PeerLoads(),
-          0);
+  private static final String REFUSAL =
+      "HTTP/1.1 503 Service Unavailable\nnot-run: 1\nid: r1\nContent-Length: 0\n\n";
+
+  private Upstream upstream;
+
+  /** Creates an upstream without connections. */
+  @BeforeMethod
+  public void createUpstream() {
+    upstream =
+        new Upstream(
+            new UpstreamEntry(
+                new UpstreamId("u"),
+                new ServiceName("s"),
+                new InetSocketAddress("127.0.0.1", 1),
+                new ZoneId("z"),
+                8,
+                false,
+                0,
+                0),
+            new PeerLoads(),
+            0);
+  }
 
   private static final class Recorder implements AttemptListener {
     private final List<String> events = new ArrayList<>();
@@ -76,21 +87,33 @@
   }
 
   private EmbeddedChannel open() {
-    return new EmbeddedChannel(
-        new HttpClientCodec(), new UpstreamConnection(upstream, new PlainHeaderCodec(), () -> 0));
+    EmbeddedChannel channel = new EmbeddedChannel();
+    new UpstreamConnection(upstream, new PlainHeaderCodec(), () -> 0).addTo(channel.pipeline());
+    return channel;
   }
 
   private static Recorder send(EmbeddedChannel channel, String id) {
+    return send(channel, id, HttpMethod.GET);
+  }
+
+  private static Recorder send(EmbeddedChannel channel, String id, HttpMethod method) {
     Recorder recorder = new Recorder();
     DefaultFullHttpRequest request =
-        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a/");
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/a/");
     channel.pipeline().get(UpstreamConnection.class).send(request, id, recorder);
     return recorder;
   }
 
   private static void receive(EmbeddedChannel channel, String text) {
-    channel.writeInbound(
-        Unpooled.copiedBuffer(text.replace("\n", "\r\n"), StandardCharsets.US_ASCII));
+    receiveExactly(channel, withLineEnds(text));
+  }
+
+  private static String withLineEnds(String text) {
+    return text.replace("\n", "\r\n");
+  }
+
+  private static void receiveExactly(EmbeddedChannel channel, String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
   }
 
   @Test
@@ -158,6 +181,69 @@
     assertFalse(channel.isActive());
   }
 
+  /** Numbers of bytes after which an extra copy of a refusal breaks off. */
+  @DataProvider
+  public Object[][] tornLengths() {
+    return IntStream.range(1, withLineEnds(REFUSAL).length())
+        .mapToObj(length -> new Object[] {length})
+        .toArray(Object[][]::new);
+  }
+
+  /** Guards against the torn head of an extra response making the next one look like a refusal. */
+  @Test(dataProvider = "tornLengths")
+  public void tornExtraResponseOnAnIdleConnectionClosesIt(int length) {
+    EmbeddedChannel channel = open();
+    send(channel, "r1");
+    receive(channel, REFUSAL);
+    receiveExactly(channel, withLineEnds(REFUSAL).substring(0, length));
+    assertFalse(channel.isActive());
+    assertTrue(upstream.takeIdle(0).isEmpty());
+  }
+
+  /** Guards against reuse of a connection whose decoder holds the beginning of another response. */
+  @Test(dataProvider = "tornLengths")
+  public void connectionIsNotReusedAfterResponseWithTrailingBytes(int length) {
+    EmbeddedChannel channel = open();
+    Recorder recorder = send(channel, "r1");
+    receiveExactly(
+        channel,
+        withLineEnds("HTTP/1.1 200 OK\nid: r1\nContent-Length: 2\n\nab")
+            + withLineEnds(REFUSAL).substring(0, length));
+    assertEquals(recorder.events, List.of("200 r1", "ab", "ended"));
+    assertTrue(upstream.takeIdle(0).isEmpty());
+    assertFalse(channel.isActive());
+  }
+
+  /** Guards against a torn head that arrives after the next request has been sent. */
+  @Test(dataProvider = "tornLengths")
+  public void tornExtraResponseBeforeTheResponseIsNotJoinedWithIt(int length) {
+    EmbeddedChannel channel = open();
+    Recorder recorder = send(channel, "r2");
+    receiveExactly(channel, withLineEnds(REFUSAL).substring(0, length));
+    receive(channel, "HTTP/1.1 200 OK\nid: r2\nContent-Length: 2\n\nab");
+    assertEquals(recorder.events, List.of("broken"));
+    assertFalse(channel.isActive());
+  }
+
+  @Test
+  public void connectionIsNotReusedAfterSkippedResponse() {
+    EmbeddedChannel channel = open();
+    send(channel, "r2");
+    receive(channel, "HTTP/1.1 200 OK\nid: r1\nContent-Length: 2\n\nxx");
+    receive(channel, "HTTP/1.1 200 OK\nid: r2\nContent-Length: 2\n\nab");
+    assertTrue(upstream.takeIdle(0).isEmpty());
+    assertFalse(channel.isActive());
+  }
+
+  @Test
+  public void responseToHeadRequestHasNoBody() {
+    EmbeddedChannel channel = open();
+    Recorder recorder = send(channel, "r1", HttpMethod.HEAD);
+    receive(channel, "HTTP/1.1 200 OK\nid: r1\nContent-Length: 2\n\n");
+    assertEquals(recorder.events, List.of("200 r1", "ended"));
+    assertTrue(upstream.takeIdle(0).isPresent());
+  }
+
   @Test
   public void connectionIsNotReusedNearItsIdleTimeout() {
     EmbeddedChannel channel = open();
