Complete a response without a length only at the end of the upstream's side

Cause: the write of the request's body finds the reset. Netty closes the channel and reports only its end, which the HTTP codec takes for the end of the response.

Change: connections to upstreams allow half-closure, and ResponseDecoder completes a response without a length only after the event of the upstream's FIN. Any other end of the connection fails the response.

UpstreamConnectionTest.unframedResponseIsCompletedByTheEndOfItsConnection closed the channel on this side and expected a whole response, which is the fault. It now ends the upstream's side with the same assertions and two more; unframedResponseIsReportedAsFailedIfTheUpstreamHasNotEndedIt covers the closing (failed before, like idleConnectionThatTheUpstreamEndsIsClosed).

--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/ResponseDecoder.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/ResponseDecoder.java
@@ -1,6 +1,8 @@
 package org.ragworttide.gateway.upstream;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -10,18 +12,23 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 
 /**
  * Decodes the responses on a connection to an upstream.
  *
- * <p>Invariant: bytes that are received while no response is expected are discarded and reported as
- * an exception; they never become a part of a later response. Confined to the event loop.
+ * <p>Invariants: bytes that are received while no response is expected are discarded and reported
+ * as an exception; they never become a part of a later response. A response without a length is
+ * complete only once the upstream has ended its side of the connection; a connection that is closed
+ * in any other way ends it incomplete. The channel must allow half-closure, which tells the two
+ * apart. Confined to the event loop.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
   private static final int MAX_HEADER_BYTES = 16_384;
 
   private boolean expecting;
   private boolean headRequest;
+  private boolean inputEnded;
 
   ResponseDecoder() {
     super(
@@ -46,6 +53,11 @@
     return actualReadableBytes() > 0;
   }
 
+  /** Returns whether the upstream has ended its side of the connection. */
+  boolean isInputEnded() {
+    return inputEnded;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
     if (expecting) {
@@ -57,6 +69,20 @@
     }
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+    inputEnded |= event instanceof ChannelInputShutdownEvent;
+    super.userEventTriggered(ctx, event);
+  }
+
+  @Override
+  protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
+      throws Exception {
+    if (inputEnded) {
+      super.decodeLast(ctx, in, out);
+    }
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     HttpResponseStatus status = ((HttpResponse) message).status();
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -98,7 +100,14 @@
     skippedBytes = 0;
     interimResponses = 0;
     decoder.expectResponse(request.method());
-    channel.writeAndFlush(request).addListener(done -> bodySent = done.isSuccess());
+    channel.writeAndFlush(request).addListener(this::recordSent);
+  }
+
+  private void recordSent(Future<? super Void> sent) {
+    bodySent = sent.isSuccess();
+    if (!bodySent) {
+      fail("request not sent completely: " + sent.cause().getClass().getSimpleName());
+    }
   }
 
   /** Pauses or resumes reading. */
@@ -228,8 +237,9 @@
     idleSinceMillis = clock.getAsLong();
     channel.config().setAutoRead(true);
     decoder.endResponse();
+    boolean connected = channel.isActive() && !decoder.isInputEnded();
     boolean reusable = keepAlive && !otherResponses && !decoder.hasUndecodedBytes();
-    if (reusable && bodySent && channel.isActive()) {
+    if (reusable && bodySent && connected) {
       upstream.putIdle(this);
     } else if (bodySent || !channel.isActive()) {
       close();
@@ -262,6 +272,13 @@
             : "connection failed: " + cause.getClass().getSimpleName());
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      fail("connection closed");
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     fail("connection closed");
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
@@ -48,6 +48,7 @@
             .channel(type)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.SO_KEEPALIVE, true);
     if (EpollSocketChannel.class.isAssignableFrom(type)) {
       bootstrap
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -108,6 +109,11 @@
     receiveExactly(channel, withLineEnds(text));
   }
 
+  /** Ends the upstream's side of the connection, as a received FIN does. */
+  private static void endInput(EmbeddedChannel channel) {
+    channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+  }
+
   private static String withLineEnds(String text) {
     return text.replace("\n", "\r\n");
   }
@@ -158,8 +164,30 @@
     EmbeddedChannel channel = open();
     Recorder recorder = send(channel, "r1");
     receive(channel, "HTTP/1.1 200 OK\nid: r1\n\nab");
-    channel.close();
+    endInput(channel);
     assertEquals(recorder.events, List.of("200 r1", "ab", "ended"));
+    assertFalse(channel.isActive());
+    assertTrue(upstream.takeIdle(0).isEmpty());
+  }
+
+  /** Guards against half of a response looking whole after a reset that a write has found. */
+  @Test
+  public void unframedResponseIsReportedAsFailedIfTheUpstreamHasNotEndedIt() {
+    EmbeddedChannel channel = open();
+    Recorder recorder = send(channel, "r1");
+    receive(channel, "HTTP/1.1 200 OK\nid: r1\n\nab");
+    channel.close();
+    assertEquals(recorder.events, List.of("200 r1", "ab", "broken"));
+  }
+
+  @Test
+  public void idleConnectionThatTheUpstreamEndsIsClosed() {
+    EmbeddedChannel channel = open();
+    send(channel, "r1");
+    receive(channel, "HTTP/1.1 200 OK\nid: r1\nContent-Length: 0\n\n");
+    endInput(channel);
+    assertFalse(channel.isActive());
+    assertTrue(upstream.takeIdle(0).isEmpty());
   }
 
   @Test
