Go on reading the store after an item that cannot be used

Cause: an exception of the decoder, such as for an entry without an id, left ChangeFeed after the whole batch had been noted as known, and ended the subscription in StoreFeed.

--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -95,6 +95,8 @@
   PEER_LOST(7202, Level.INFO, "no message from VM at %s for %s ms"),
   /** The VM receives the store's changes from another source. */
   FEED_SOURCE(7203, Level.INFO, "changes received from %s after revision %s"),
+  /** A change of the store could not be applied. */
+  CHANGE_FAILED(7204, Level.ERROR, "change of %s at revision %s not applied: %s"),
   /** An upstream crashed while it ran requests of this VM. */
   UPSTREAM_CRASHED(7301, Level.INFO, "upstream %s crashed, counted against %s"),
   /** Another VM has reported that an upstream crashed while it ran the VM's requests. */
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
@@ -112,13 +112,22 @@
 
   private void apply(ChangeBatch batch) {
     List<Change> changes = log.apply(batch, time.nowMillis());
-    changes.forEach(listener::apply);
+    changes.forEach(this::deliver);
     controller.recordKnownRevision(log.revision());
     if (!changes.isEmpty()) {
       sendToFollowers();
     }
   }
 
+  /** Passes a change on; one that fails is left out, so that those after it are applied. */
+  private void deliver(Change change) {
+    try {
+      listener.apply(change);
+    } catch (RuntimeException e) {
+      EventLog.log(LogEvent.CHANGE_FAILED, change.key(), change.revision(), e);
+    }
+  }
+
   private void sendToFollowers() {
     if (server.followers() > 0) {
       server.send(controller.status());
--- a/gateway/src/test/java/org/ragworttide/gateway/feed/ChangeFeedTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/feed/ChangeFeedTest.java
@@ -86,6 +86,9 @@
 
     @Override
     public void apply(Change change) {
+      if (change.key().equals("failing")) {
+        throw new IllegalStateException("change cannot be applied");
+      }
       applied.put(change.key(), change.revision());
     }
 
@@ -141,6 +144,17 @@
     eventually(() -> refused.applied.getOrDefault("configuration", 0L) == 6);
   }
 
+  /** Guards against one change that ends the reading of the store, here and on other VMs. */
+  @Test
+  public void changesAfterOneThatCannotBeAppliedAreApplied() {
+    eventually(() -> refused.applied.getOrDefault("configuration", 0L) == 5);
+    List<Change> changes =
+        List.of(Change.put("failing", 6, new byte[1]), Change.put("configuration", 7, new byte[2]));
+    put(reading, ChangeBatch.changes(5, 7, changes));
+    eventually(() -> reading.applied.getOrDefault("configuration", 0L) == 7);
+    eventually(() -> refused.applied.getOrDefault("configuration", 0L) == 7);
+  }
+
   @Test
   public void connectionThatSendsNoRequestIsClosed() throws IOException {
     try (Socket socket = new Socket(reading.address.getAddress(), reading.address.getPort())) {
