Do not reuse a connection after a refusal without an id

Cause: a refusal of a full upstream names no request. Its copy, where the next response is due, cannot be told from the refusal of the next request.

Change: such a refusal ends the use of its connection, so that it can mean only the request for which it arrived.

--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -27,8 +27,9 @@
  *
  * <p>Invariant: a response reaches the listener only if it has the id of the listener's request, or
  * if it has no id and reports that the request has not run. A response to another request is
- * skipped completely. Bytes that belong to no request end the use of the connection: at once if no
- * request is in flight, otherwise with the response. Confined to the event loop.
+ * skipped completely. A connection is reused only while each response on it can be attributed to
+ * one request: bytes that belong to no request end its use, at once if no request is in flight,
+ * otherwise with the response, and so does a refusal without an id. Confined to the event loop.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
   /** Share of the upstream's idle timeout after which the connection is not reused. */
@@ -65,7 +66,7 @@
   private AttemptListener listener;
   private String requestId = "";
   private boolean skipping;
-  private boolean otherResponses;
+  private boolean attributable = true;
   private boolean detached;
   private boolean keepAlive;
   private boolean failed;
@@ -195,9 +196,11 @@
     boolean notRunWithoutId = metadata.requestId().isEmpty() && metadata.notRun();
     skipping = !metadata.requestId().equals(requestId) && !notRunWithoutId;
     if (skipping) {
-      otherResponses = true;
+      attributable = false;
       return;
     }
+    // A copy of a refusal without an id could not be told from the refusal of the next request.
+    attributable &= !notRunWithoutId;
     keepAlive = HttpUtil.isKeepAlive(response);
     idleTimeoutMillis = idleTimeoutMillis(response);
     if (!detached) {
@@ -238,7 +241,7 @@
     channel.config().setAutoRead(true);
     decoder.endResponse();
     boolean connected = channel.isActive() && !decoder.isInputEnded();
-    boolean reusable = keepAlive && !otherResponses && !decoder.hasUndecodedBytes();
+    boolean reusable = keepAlive && attributable && !decoder.hasUndecodedBytes();
     if (reusable && bodySent && connected) {
       upstream.putIdle(this);
     } else if (bodySent || !channel.isActive()) {
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -253,6 +253,26 @@
     assertFalse(channel.isActive());
   }
 
+  /** Guards against a copy of a refusal that answers the next request on the connection. */
+  @Test
+  public void connectionIsNotReusedAfterRefusalWithoutId() {
+    EmbeddedChannel channel = open();
+    Recorder recorder = send(channel, "r1");
+    receive(channel, REFUSAL.replace("id: r1\n", ""));
+    assertEquals(recorder.events, List.of("503 ", "ended"));
+    assertTrue(upstream.takeIdle(0).isEmpty());
+    assertFalse(channel.isActive());
+  }
+
+  @Test
+  public void connectionIsReusedAfterRefusalWithId() {
+    EmbeddedChannel channel = open();
+    Recorder recorder = send(channel, "r1");
+    receive(channel, REFUSAL);
+    assertEquals(recorder.events, List.of("503 r1", "ended"));
+    assertTrue(upstream.takeIdle(0).isPresent());
+  }
+
   @Test
   public void connectionIsNotReusedAfterSkippedResponse() {
     EmbeddedChannel channel = open();
