Continue a stream only with the status that its caller has received

What callers would see: a stream that broke off ends as complete, without its other events, if the next upstream answers 204 or 206 with a receipt.

Cause: any success of the next upstream counted as the continuation of the stream. Evidence: FailedContinuationTest breaks streams off in five ways and lets the next upstream answer in 22 ways that do not continue them.

Change: an answer whose status differs from the one that the caller has received fails the attempt.

Result: the test passes.

--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -438,11 +438,11 @@
     }
 
     /**
-     * Returns whether an upstream refused to continue the stream. The caller has already received
-     * the status of a success, so no other response may follow.
+     * Returns whether an upstream does not continue the stream. The caller has already received the
+     * status of another upstream, so no other response may follow.
      */
     private boolean isFailedContinuation() {
-      return response.isBegun() && !isSuccess();
+      return response.isBegun() && !status.equals(response.head().status());
     }
 
     private boolean isSuccess() {
