Process a caller's messages in the order of their arrival

Cause: after an answer, the queue of a connection is processed by a task. A read that comes before the task found no running request and was processed at once, ahead of the queue. Evidence: PipelinedRequestTest failed in three runs of three on the code before (element 7: answer of request 13 instead of 7).

Change: messages join the queue while it is not empty; a connection with queued requests does not count as idle, so that a stopping VM does not close it.

--- a/gateway/src/main/java/org/ragworttide/gateway/caller/CallerHandler.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/caller/CallerHandler.java
@@ -35,8 +35,8 @@
 /**
  * Handles a caller's connection: receives requests one after the other and writes their responses.
  *
- * <p>Invariant: the response to a request is written before the next request is processed. Confined
- * to the event loop.
+ * <p>Invariants: messages are processed in the order in which they arrive; the response to a
+ * request is written before the next request is processed. Confined to the event loop.
  */
 final class CallerHandler extends ChannelInboundHandlerAdapter implements ResponseWriter {
   /** Messages that may be queued behind a running request before reading is paused. */
@@ -72,9 +72,9 @@
     return headTimeout;
   }
 
-  /** Returns whether no request is being received or answered. */
+  /** Returns whether no request is queued or being received or answered. */
   boolean isIdle() {
-    return exchange == null && head == null;
+    return exchange == null && head == null && queued.isEmpty();
   }
 
   /** Closes the connection if it has been idle for the given time. */
@@ -119,7 +119,7 @@
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (closing) {
       ReferenceCountUtil.release(message);
-    } else if (exchange != null) {
+    } else if (exchange != null || !queued.isEmpty()) {
       queued.add(message);
       if (queued.size() >= MAX_QUEUED_MESSAGES) {
         channel.config().setAutoRead(false);
