Keep bytes that belong to no request apart in the daemon's client

Callers of the daemon could receive half of a response as a whole one, or the status of a torn extra response with the body of their own.

Evidence: UpstreamClientTest; four of its five tests fail on the code before ("200 half" as complete; "500 ab" for "200 ab").

Change: the daemon and the gateway share ResponseDecoder; ResponseGuard installs it on each connection of the client, closes connections on which bytes follow a response, and those that the upstream has ended.

Result: the five tests pass.

--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/ResponseDecoder.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseDecoder.java
@@ -1,4 +1,4 @@
-package org.ragworttide.gateway.upstream;
+package org.ragworttide.daemon.upstream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -23,14 +23,15 @@
  * in any other way ends it incomplete. The channel must allow half-closure, which tells the two
  * apart. Confined to the event loop.
  */
-final class ResponseDecoder extends HttpResponseDecoder {
+public final class ResponseDecoder extends HttpResponseDecoder {
   private static final int MAX_HEADER_BYTES = 16_384;
 
   private boolean expecting;
   private boolean headRequest;
   private boolean inputEnded;
 
-  ResponseDecoder() {
+  /** Creates a decoder that expects no response yet. */
+  public ResponseDecoder() {
     super(
         new HttpDecoderConfig()
             .setMaxHeaderSize(MAX_HEADER_BYTES)
@@ -38,23 +39,23 @@
   }
 
   /** Expects the response to a request with the method. */
-  void expectResponse(HttpMethod method) {
+  public void expectResponse(HttpMethod method) {
     expecting = true;
     headRequest = method.equals(HttpMethod.HEAD);
   }
 
   /** Expects no response until the next request. */
-  void endResponse() {
+  public void endResponse() {
     expecting = false;
   }
 
   /** Returns whether bytes have been received that belong to no complete message. */
-  boolean hasUndecodedBytes() {
+  public boolean hasUndecodedBytes() {
     return actualReadableBytes() > 0;
   }
 
   /** Returns whether the upstream has ended its side of the connection. */
-  boolean isInputEnded() {
+  public boolean isInputEnded() {
     return inputEnded;
   }
 
--- a/daemon/src/main/java/org/ragworttide/daemon/upstream/UpstreamClient.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/UpstreamClient.java
@@ -25,7 +25,9 @@
  *
  * <p>Invariants: a subscription sends the request at most once and follows no redirect; a
  * non-idempotent request uses a new connection, because a pooled one may just have been closed by
- * the upstream. Cancelling closes the connection. Safe for use by any thread.
+ * the upstream. Bytes that belong to no request close their connection, and a response without a
+ * length is complete only once the upstream has ended it. Cancelling closes the connection. Safe
+ * for use by any thread.
  */
 public final class UpstreamClient {
   private static final Set<HttpMethod> BODY_METHODS =
@@ -57,6 +59,8 @@
         tls.map(context -> client.secure(spec -> spec.sslContext(context))).orElse(client);
     return secured
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis())
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .doOnChannelInit((observer, channel, address) -> ResponseGuard.install(channel.pipeline()))
         .disableRetry(true)
         .followRedirect(false);
   }
--- /dev/null
+++ b/daemon/src/test/java/org/ragworttide/daemon/upstream/UpstreamClientTest.java
@@ -0,0 +1,198 @@
+package org.ragworttide.daemon.upstream;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * Tests that bytes of an upstream in trouble neither complete a response nor reach another request.
+ */
+public class UpstreamClientTest {
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+  /** More than the socket buffers hold, so that a part of the body waits in the client. */
+  private static final int LONG_BODY_BYTES = 16_000_000;
+
+  private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+
+  /** Serves a connection of the client. */
+  private interface Script {
+    void serve(Socket socket) throws IOException, InterruptedException;
+  }
+
+  private ServerSocket listener;
+  private UpstreamClient client;
+
+  /** Opens the upstream's port and a client. */
+  @BeforeMethod
+  public void start() throws IOException {
+    listener = new ServerSocket();
+    listener.setReceiveBufferSize(8_192);
+    listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+    client = new UpstreamClient(UpstreamSettings.defaults(), Optional.empty());
+  }
+
+  /** Closes the client and the upstream's port. */
+  @AfterMethod(alwaysRun = true)
+  public void stop() throws IOException {
+    client.close().block(TIMEOUT);
+    listener.close();
+  }
+
+  private void serve(Script script) {
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              try {
+                while (true) {
+                  Socket socket = listener.accept();
+                  Thread.ofVirtual().start(() -> serve(socket, script));
+                }
+              } catch (IOException e) {
+                // The listener was closed.
+              }
+            });
+  }
+
+  private static void serve(Socket socket, Script script) {
+    try (socket) {
+      script.serve(socket);
+    } catch (IOException e) {
+      // The client has closed the connection.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void readHead(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = in.read();
+      if (next < 0) {
+        throw new IOException("connection closed within the head");
+      }
+      head.append((char) next);
+    }
+  }
+
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private List<UpstreamEvent> send(HttpMethod method, byte[] body, boolean idempotent) {
+    UpstreamRequest request =
+        new UpstreamRequest(method, "/a", new DefaultHttpHeaders(), body, idempotent);
+    InetSocketAddress address = (InetSocketAddress) listener.getLocalSocketAddress();
+    return client.send(address, request, () -> true).collectList().block(TIMEOUT);
+  }
+
+  private static String text(List<UpstreamEvent> events) {
+    StringBuilder text = new StringBuilder();
+    for (UpstreamEvent event : events) {
+      switch (event) {
+        case UpstreamEvent.Head head -> text.append(head.status()).append(' ');
+        case UpstreamEvent.Chunk chunk ->
+            text.append(new String(chunk.bytes(), StandardCharsets.US_ASCII));
+        case UpstreamEvent.Failure failure -> text.append(" failed");
+      }
+    }
+    return text.toString();
+  }
+
+  /** Guards against half of a response looking whole after a reset that a write has found. */
+  @Test
+  public void responseWithoutLengthThatIsResetWhileTheBodyIsSentIsIncomplete() {
+    serve(
+        socket -> {
+          readHead(socket.getInputStream());
+          write(socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+          Thread.sleep(100);
+          socket.setSoLinger(true, 0);
+        });
+    for (int i = 0; i < 5; i++) {
+      List<UpstreamEvent> events = send(HttpMethod.POST, new byte[LONG_BODY_BYTES], false);
+      assertTrue(events.getLast() instanceof UpstreamEvent.Failure, text(events));
+    }
+  }
+
+  @Test
+  public void responseWithoutLengthIsCompleteOnceTheUpstreamHasEndedIt() {
+    serve(
+        socket -> {
+          readHead(socket.getInputStream());
+          write(socket, "HTTP/1.1 200 OK\r\n\r\nwhole");
+        });
+    assertEquals(text(send(HttpMethod.GET, new byte[0], true)), "200 whole");
+    assertEquals(text(send(HttpMethod.GET, new byte[0], false)), "200 whole");
+  }
+
+  /** Guards against the torn head of an extra response being joined with the next response. */
+  @Test
+  public void tornExtraResponseIsNotJoinedWithTheNextResponse() throws InterruptedException {
+    serve(
+        socket -> {
+          readHead(socket.getInputStream());
+          write(socket, OK + "ab");
+          Thread.sleep(50);
+          write(socket, "HTTP/1.1 500 Internal Error\r\nX-Extra: ");
+          readHead(socket.getInputStream());
+          write(socket, OK + "ab");
+          socket.getInputStream().read();
+        });
+    for (int i = 0; i < 3; i++) {
+      assertEquals(text(send(HttpMethod.GET, new byte[0], true)), "200 ab");
+      Thread.sleep(200);
+    }
+  }
+
+  @Test
+  public void tornExtraResponseInTheSameReadIsNotJoinedWithTheNextResponse()
+      throws InterruptedException {
+    serve(
+        socket -> {
+          readHead(socket.getInputStream());
+          write(socket, OK + "abHTTP/1.1 500 Internal Error\r\nX-Extra: ");
+          readHead(socket.getInputStream());
+          write(socket, OK + "ab");
+          socket.getInputStream().read();
+        });
+    for (int i = 0; i < 3; i++) {
+      assertEquals(text(send(HttpMethod.GET, new byte[0], true)), "200 ab");
+      Thread.sleep(50);
+    }
+  }
+
+  /** Guards against an extra response being taken for the response to the next request. */
+  @Test
+  public void extraResponseReachesNoOtherRequest() throws InterruptedException {
+    serve(
+        socket -> {
+          readHead(socket.getInputStream());
+          write(socket, OK + "ab");
+          Thread.sleep(50);
+          write(socket, OK + "no");
+          readHead(socket.getInputStream());
+          write(socket, OK + "ab");
+          socket.getInputStream().read();
+        });
+    for (int i = 0; i < 3; i++) {
+      assertEquals(text(send(HttpMethod.GET, new byte[0], true)), "200 ab");
+      Thread.sleep(200);
+    }
+  }
+}
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -19,6 +19,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.ragworttide.daemon.upstream.ResponseDecoder;
 import org.ragworttide.gateway.HeaderCodec;
 import org.ragworttide.gateway.relay.ResponseMetadata;
 
