Go on watching a published document after one that cannot be handled

A listener that threw ended the watch of its document for good: the daemon would have followed no later version.

Evidence: DocumentWatchTest fails on the code before (no later version is handled). Change: the failure is logged (RWT2005) and the watch goes on. Result: the test passes.

--- a/daemon/src/main/java/org/ragworttide/daemon/platform/DocumentWatch.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/platform/DocumentWatch.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.ragworttide.daemon.log.EventLog;
+import org.ragworttide.daemon.log.LogEvent;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 
@@ -11,7 +13,8 @@
  * Watches one published document and passes each newer version to a listener.
  *
  * <p>Invariant: the listener receives versions in ascending order; one call to the service is open
- * at a time. The listener runs on a thread of the client. Safe for use by any thread.
+ * at a time; a listener that fails does not end the watch. The listener runs on a thread of the
+ * client. Safe for use by any thread.
  */
 public final class DocumentWatch implements Disposable {
   private static final Duration WAIT = Duration.ofSeconds(20);
@@ -46,7 +49,7 @@
 
   /** Starts to watch the document. */
   public DocumentWatch start() {
-    loop = Mono.defer(this::step).repeat().subscribe();
+    loop = Mono.defer(this::step).onErrorResume(this::handleFailure).repeat().subscribe();
     return this;
   }
 
@@ -83,6 +86,12 @@
     };
   }
 
+  /** Goes on with the next version after one that the listener could not handle. */
+  private Mono<Void> handleFailure(Throwable error) {
+    EventLog.log(LogEvent.DOCUMENT_UNUSABLE, name, error);
+    return pause();
+  }
+
   private static Mono<Void> pause() {
     // Jitter spreads the calls of the readers when the service becomes available again.
     long jitterMillis = ThreadLocalRandom.current().nextLong(PAUSE_AFTER_FAILURE.toMillis());
