Heed upstreams that say they are leaving or ask for a pause

What upstreams would see: requests long after they have said in an answer that they are leaving, and within a pause that they asked for with a 503. Nothing read either statement.

Change: both are decoded once into UpstreamStatement and kept with the run of the upstream in StatedAvailability, a part without I/O, which each placement reads, and each attempt once more when its connection is ready. Leaving is final for the run. A pause is bounded to a minute, each VM adds a part that differs from the others', and requests return at a growing rate. If all upstreams want a pause, requests are refused at once with the rest of it as Retry-After.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -95,7 +95,7 @@
    */
   public Optional<UpstreamLoad> choose(
       Prompt prompt, List<UpstreamLoad> candidates, boolean canFetch, long nowMillis) {
-    List<UpstreamLoad> open = ColdStartFilter.admitting(candidates, nowMillis);
+    List<UpstreamLoad> open = AdmissionFilter.admitting(candidates, nowMillis);
     if (open.isEmpty()) {
       return Optional.empty();
     }
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/ServicePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/ServicePlacement.java
@@ -45,7 +45,7 @@
   public Optional<UpstreamLoad> choose(List<UpstreamLoad> candidates, long nowMillis) {
     UpstreamLoad best = null;
     double leastExpectedMillis = Double.MAX_VALUE;
-    for (UpstreamLoad upstream : ColdStartFilter.preferWarm(candidates, nowMillis)) {
+    for (UpstreamLoad upstream : AdmissionFilter.preferWarm(candidates, nowMillis)) {
       double expected = expectedMillis(upstream, nowMillis) + random.nextDouble(TIE_BREAK_MILLIS);
       if (expected < leastExpectedMillis) {
         leastExpectedMillis = expected;
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
@@ -38,6 +38,7 @@
   private final long startUnixMillis;
   private final PeerLoads peers;
   private final ColdAllowance cold;
+  private final StatedAvailability availability;
   private int slots;
   private int inFlight;
   private int reportedRequests;
@@ -63,6 +64,7 @@
     this.startUnixMillis = startUnixMillis;
     this.peers = peers;
     this.cold = new ColdAllowance(peers);
+    this.availability = new StatedAvailability(idHash);
     slots(slots);
   }
 
@@ -81,6 +83,11 @@
     return cold;
   }
 
+  /** Returns what the upstream has stated about the requests that it wants. */
+  public StatedAvailability availability() {
+    return availability;
+  }
+
   /** Returns the Unix time of the upstream's start in milliseconds, or 0 if unknown. */
   public long startUnixMillis() {
     return startUnixMillis;
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -89,6 +89,12 @@
   STORE_REGAINED(7106, Level.INFO, "store available again at revision %s after %s ms"),
   /** An upstream names another limit on requests, or none any more. */
   REQUEST_LIMIT_NAMED(7107, Level.INFO, "upstream %s accepts %s requests per second"),
+  /** An upstream states that it is about to stop. */
+  UPSTREAM_LEAVING(7108, Level.INFO, "upstream %s states that it is leaving"),
+  /** An upstream wants no requests for some time. */
+  UPSTREAM_PAUSED(7109, Level.INFO, "upstream %s wants no requests for %s ms, paused for %s ms"),
+  /** A statement of an upstream is not understood. */
+  STATEMENT_UNREADABLE(7110, Level.WARN, "upstream %s states a pause that is not understood: %s"),
   /** The first message of another VM has arrived. */
   PEER_HEARD(7201, Level.INFO, "first message of VM %s received from %s"),
   /** No message of another VM has arrived for 30 s. */
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -239,7 +239,11 @@
 
   private void refuse(Refusal refusal, String cause) {
     context.telemetry().recordRefusal(request.metadata().id(), refusal, cause, elapsedMillis());
-    caller.respond(RefusalResponse.of(refusal, context.random()));
+    long pauseMillis =
+        service == null
+            ? 0
+            : context.placement().remainingPauseMillis(service, context.time().nowMillis());
+    caller.respond(RefusalResponse.of(refusal, pauseMillis, context.random()));
     finish();
   }
 
@@ -295,9 +299,16 @@
         connection.cancel();
         return;
       }
+      sentAtMillis = context.time().nowMillis();
+      if (!upstream.load().availability().admitsAsLastResort(sentAtMillis)) {
+        end();
+        connection.cancel();
+        place();
+        return;
+      }
       attempts++;
       possibleRuns++;
-      sentAtMillis = context.time().nowMillis();
+      upstream.load().availability().recordRequest(sentAtMillis);
       upstream.load().coldAllowance().recordRequest(sentAtMillis);
       context.placement().recordSent(request.metadata().prompt(), upstream, sentAtMillis);
       connection.send(upstreamRequest(), request.metadata().id(), this);
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
@@ -57,6 +57,17 @@
     return chosen.flatMap(load -> candidates.stream().filter(it -> it.load() == load).findFirst());
   }
 
+  /**
+   * Returns the milliseconds until the first of the service's available upstreams ends its pause; 0
+   * if one of them wants requests or is only leaving.
+   */
+  long remainingPauseMillis(ServiceName service, long nowMillis) {
+    return view.availableUpstreams(service).stream()
+        .mapToLong(it -> it.load().availability().remainingPauseMillis(nowMillis).orElse(0))
+        .min()
+        .orElse(0);
+  }
+
   /** Returns an engine other than the chosen one that is likely to have the prompt cached. */
   Optional<Upstream> fetchSource(
       ServiceName service, Optional<Prompt> prompt, Upstream chosen, long nowMillis) {
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/RefusalResponse.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/RefusalResponse.java
@@ -21,16 +21,17 @@
    * Returns the response to a refused request.
    *
    * @param refusal why the request is refused
+   * @param minDelayMillis milliseconds before which a retry would be refused as well, 0 if unknown
    * @param random randomizes the retry delay, so that refused callers do not retry at the same time
    */
-  static FullHttpResponse of(Refusal refusal, SplittableRandom random) {
+  static FullHttpResponse of(Refusal refusal, long minDelayMillis, SplittableRandom random) {
     FullHttpResponse response =
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, refusal.status(), Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     if (refusal.isRetryable()) {
-      double seconds =
-          (MEAN_RETRY_AFTER_MILLIS / 2 + random.nextLong(MEAN_RETRY_AFTER_MILLIS))
-              / MILLIS_PER_SECOND;
+      long leastMillis = Math.max(minDelayMillis, MEAN_RETRY_AFTER_MILLIS / 2);
+      long spreadMillis = Math.max(MEAN_RETRY_AFTER_MILLIS, leastMillis / 2);
+      double seconds = (leastMillis + random.nextLong(spreadMillis)) / MILLIS_PER_SECOND;
       String text = String.format(Locale.ROOT, "%.2f", seconds);
       response.headers().set(HttpHeaderNames.RETRY_AFTER, text);
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/ResponseMetadata.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/ResponseMetadata.java
@@ -16,6 +16,7 @@
  * @param load the upstream's load, if the response reports it
  * @param requestLimit the requests per second that the upstream accepts from all VMs together, if
  *     the response names a limit
+ * @param statement what the upstream states about the requests that it wants
  */
 public record ResponseMetadata(
     String requestId,
@@ -23,7 +24,8 @@
     boolean notRun,
     boolean encoded,
     Optional<Load> load,
-    OptionalDouble requestLimit) {
+    OptionalDouble requestLimit,
+    UpstreamStatement statement) {
 
   /**
    * Requests at an upstream.
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
@@ -5,10 +5,12 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.ragworttide.coordination.placement.PeerLoads;
+import org.ragworttide.coordination.placement.StatedAvailability;
 import org.ragworttide.coordination.placement.UpstreamLoad;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
 import org.ragworttide.gateway.model.UpstreamEntry;
+import org.ragworttide.gateway.relay.UpstreamStatement;
 
 /**
  * One incarnation of an upstream: its last published entry, its load and the idle connections to
@@ -22,6 +24,7 @@
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
   private UpstreamEntry entry;
   private OptionalDouble requestLimit = OptionalDouble.empty();
+  private boolean loggedUnreadable;
   private boolean closed;
 
   /** Creates an upstream without connections. */
@@ -77,6 +80,33 @@
     }
   }
 
+  /** Records what the upstream has stated in a response to this VM. */
+  void recordStatement(UpstreamStatement statement, long nowMillis) {
+    StatedAvailability availability = load.availability();
+    if (statement.leaving() && availability.recordLeaving(nowMillis)) {
+      EventLog.log(LogEvent.UPSTREAM_LEAVING, entry.id());
+    }
+    if (statement.pauseMillis().isPresent()) {
+      long millis = statement.pauseMillis().getAsLong();
+      if (availability.recordPause(millis, nowMillis)) {
+        EventLog.log(
+            LogEvent.UPSTREAM_PAUSED,
+            entry.id(),
+            millis,
+            availability.remainingPauseMillis(nowMillis).getAsLong());
+      }
+    }
+    if (statement.unreadable().isPresent() && !loggedUnreadable) {
+      loggedUnreadable = true;
+      EventLog.log(LogEvent.STATEMENT_UNREADABLE, entry.id(), statement.unreadable().get());
+    }
+  }
+
+  /** Takes over what an earlier entry of the same incarnation has stated. */
+  public void inherit(Upstream earlier) {
+    load.availability().inherit(earlier.load.availability());
+  }
+
   /** Closes the idle connections; a busy connection is closed when it becomes idle. */
   public void close() {
     closed = true;
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -200,6 +201,10 @@
       attributable = false;
       return;
     }
+    // Another instance that has the address answers that the request is misdirected.
+    if (!response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+      upstream.recordStatement(metadata.statement(), clock.getAsLong());
+    }
     // A copy of a refusal without an id could not be told from the refusal of the next request.
     attributable &= !notRunWithoutId;
     keepAlive = HttpUtil.isKeepAlive(response);
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,8 +42,21 @@
  * to the event loop, except for {@link #awaitConfiguration}.
  */
 public final class FleetView {
+  /** Removed upstreams that are kept: as many as a fleet replaces within minutes. */
+  private static final int MAX_REMOVED_LEAVING = 1_024;
+
   private final Map<UpstreamId, Upstream> upstreams = new HashMap<>();
   private final Map<ServiceName, List<Upstream>> byService = new HashMap<>();
+
+  /** Removed upstreams that were leaving, whose entries may be published again. */
+  private final Map<UpstreamId, Upstream> removedLeaving =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<UpstreamId, Upstream> eldest) {
+          return size() > MAX_REMOVED_LEAVING;
+        }
+      };
+
   private final PeerLoads peers = new PeerLoads();
   private final PromptIndex prompts = new PromptIndex();
   private final CrashSuspicions crashes =
@@ -95,6 +109,10 @@
     }
     remove(entry.id(), nowMillis);
     Upstream added = new Upstream(entry, peers, nowMillis);
+    Upstream earlier = removedLeaving.remove(entry.id());
+    if (earlier != null && earlier.isSameIncarnation(entry)) {
+      added.inherit(earlier);
+    }
     upstreams.put(entry.id(), added);
     byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(added);
   }
@@ -104,6 +122,9 @@
     Upstream removed = upstreams.remove(id);
     if (removed != null) {
       byService.get(removed.entry().service()).remove(removed);
+      if (removed.load().availability().isLeaving()) {
+        removedLeaving.put(id, removed);
+      }
       recordCrash(removed, nowMillis);
       removed.close();
     }
--- a/gateway/src/test/java/org/ragworttide/gateway/PlainHeaderCodec.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/PlainHeaderCodec.java
@@ -9,6 +9,7 @@
 import org.ragworttide.gateway.relay.ForwardedMetadata;
 import org.ragworttide.gateway.relay.RequestMetadata;
 import org.ragworttide.gateway.relay.ResponseMetadata;
+import org.ragworttide.gateway.relay.UpstreamStatement;
 
 /**
  * Header codec for tests, with the headers id, key, deadline, resume-after, receipt and not-run.
@@ -44,6 +45,7 @@
         headers.contains("not-run"),
         headers.contains("content-encoding"),
         Optional.empty(),
-        OptionalDouble.empty());
+        OptionalDouble.empty(),
+        UpstreamStatement.NONE);
   }
 }
