Limit the gradual return after a pause to requests that others can serve

Cause: after a pause of any length, requests returned at 5 per second and upstream, growing over 2 s, also when no other upstream was left.

Change: the growing rate lasts no longer than the pause, and holds only as long as other upstreams admit a request.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/StatedAvailability.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/StatedAvailability.java
@@ -9,7 +9,8 @@
  *
  * <p>Handles upstreams that leave before the store says so, and full upstreams to which all VMs
  * would return in the moment in which the pause ends: each VM adds a part of the pause that differs
- * from the others', and its requests return at a rate that grows over {@link #RETURN_MILLIS}.
+ * from the others', and its requests return at a rate that grows over {@link #RETURN_MILLIS}, or
+ * over the length of a shorter pause, as long as other upstreams can serve them.
  *
  * <p>Invariants: an upstream that is leaving never becomes available again; no request is admitted
  * within a pause; a pause lasts at most {@link #MAX_PAUSE_MILLIS} and the part that is added,
@@ -45,6 +46,7 @@
   private final long seed;
   private long leavingSinceMillis = NEVER;
   private long pauseEndMillis = NEVER;
+  private long returnMillis;
   private long lastRequestMillis = NEVER;
 
   /**
@@ -79,7 +81,10 @@
     long bounded = Math.clamp(millis, 0, MAX_PAUSE_MILLIS);
     long maxAdded = Math.min(bounded / MAX_ADDED_SHARE, MAX_ADDED_MILLIS);
     long added = Math.floorMod(Rendezvous.weight(seed, nowMillis), maxAdded + 1);
-    pauseEndMillis = Math.max(pauseEndMillis, nowMillis + bounded + added);
+    if (nowMillis + bounded + added > pauseEndMillis) {
+      pauseEndMillis = nowMillis + bounded + added;
+      returnMillis = Math.min(bounded, RETURN_MILLIS);
+    }
     return begins && bounded > 0;
   }
 
@@ -92,6 +97,7 @@
   public void inherit(StatedAvailability earlier) {
     leavingSinceMillis = Math.max(leavingSinceMillis, earlier.leavingSinceMillis);
     pauseEndMillis = Math.max(pauseEndMillis, earlier.pauseEndMillis);
+    returnMillis = Math.max(returnMillis, earlier.returnMillis);
     lastRequestMillis = Math.max(lastRequestMillis, earlier.lastRequestMillis);
   }
 
@@ -107,12 +113,12 @@
 
   /** Returns whether a request may be sent now. */
   public boolean admits(long nowMillis) {
-    return !isLeaving() && isOutsidePause(nowMillis);
+    return !isLeaving() && !isPaused(nowMillis) && isWithinReturnRate(nowMillis);
   }
 
   /** Returns whether a request may be sent now if no other upstream admits one. */
   public boolean admitsAsLastResort(long nowMillis) {
-    return isOutsidePause(nowMillis)
+    return !isPaused(nowMillis)
         && (!isLeaving() || nowMillis - leavingSinceMillis < LEAVING_GRACE_MILLIS);
   }
 
@@ -120,9 +126,9 @@
     return nowMillis < pauseEndMillis;
   }
 
-  private boolean isOutsidePause(long nowMillis) {
-    long sincePause = nowMillis - pauseEndMillis;
-    long interval = FIRST_INTERVAL_MILLIS * (RETURN_MILLIS - sincePause) / RETURN_MILLIS;
-    return sincePause >= 0 && nowMillis - lastRequestMillis >= interval;
+  private boolean isWithinReturnRate(long nowMillis) {
+    long remaining = returnMillis - (nowMillis - pauseEndMillis);
+    return remaining <= 0
+        || nowMillis - lastRequestMillis >= FIRST_INTERVAL_MILLIS * remaining / returnMillis;
   }
 }
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/StatedAvailabilityTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/StatedAvailabilityTest.java
@@ -67,6 +67,26 @@
     assertFalse(availability.admits(NOW + 10 * SECOND - 1));
   }
 
+  @Test
+  public void requestsThatNoOtherUpstreamCanServeAreSentRightAfterThePause() {
+    StatedAvailability availability = availability();
+    availability.recordPause(4 * SECOND, NOW);
+    long end = NOW + availability.remainingPauseMillis(NOW).getAsLong();
+    assertFalse(availability.admitsAsLastResort(end - 1));
+    availability.recordRequest(end);
+    assertFalse(availability.admits(end + 1));
+    assertTrue(availability.admitsAsLastResort(end + 1));
+  }
+
+  @Test
+  public void requestsReturnWithinTheLengthOfShortPause() {
+    StatedAvailability availability = availability();
+    availability.recordPause(100, NOW);
+    long end = NOW + availability.remainingPauseMillis(NOW).getAsLong();
+    availability.recordRequest(end + 100);
+    assertTrue(availability.admits(end + 100));
+  }
+
   @Test
   public void entryThatIsPublishedAgainInheritsStatements() {
     StatedAvailability earlier = availability();
