Complete a response without a length only if the request was received

Cause: with little processor time, the upstream crashes while nothing is unread on its socket, since most of the body is still on its way. Its system then ends the connection in order and resets it when the rest arrives.

Change: ResponseDecoder completes such a response only if the whole request was written and all sent bytes are acknowledged when the upstream ends its side. A sound upstream ends the connection after it has read the request, so that both hold.

--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -95,6 +95,8 @@
   UPSTREAM_PAUSED(7109, Level.INFO, "upstream %s wants no requests for %s ms, paused for %s ms"),
   /** A statement of an upstream is not understood. */
   STATEMENT_UNREADABLE(7110, Level.WARN, "upstream %s states a pause that is not understood: %s"),
+  /** The system does not tell the state of a connection. */
+  CONNECTION_STATE_UNKNOWN(7111, Level.DEBUG, "state of the connection to %s unknown: %s"),
   /** The first message of another VM has arrived. */
   PEER_HEARD(7201, Level.INFO, "first message of VM %s received from %s"),
   /** No message of another VM has arrived for 30 s. */
--- a/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseDecoder.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseDecoder.java
@@ -1,7 +1,10 @@
 package org.ragworttide.daemon.upstream;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -13,6 +16,8 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
+import org.ragworttide.daemon.log.EventLog;
+import org.ragworttide.daemon.log.LogEvent;
 
 /**
  * Decodes the responses on a connection to an upstream.
@@ -28,6 +33,7 @@
 
   private boolean expecting;
   private boolean headRequest;
+  private boolean requestSent;
   private boolean inputEnded;
 
   /** Creates a decoder that expects no response yet. */
@@ -41,9 +47,15 @@
   /** Expects the response to a request with the method. */
   public void expectResponse(HttpMethod method) {
     expecting = true;
+    requestSent = false;
     headRequest = method.equals(HttpMethod.HEAD);
   }
 
+  /** Records that the whole request has been written. */
+  public void recordRequestSent() {
+    requestSent = true;
+  }
+
   /** Expects no response until the next request. */
   public void endResponse() {
     expecting = false;
@@ -79,11 +91,27 @@
   @Override
   protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
       throws Exception {
-    if (inputEnded) {
+    if (inputEnded && requestSent && isAcknowledged(ctx.channel())) {
       super.decodeLast(ctx, in, out);
     }
   }
 
+  /**
+   * Returns whether the upstream's system has acknowledged all sent bytes. One that ends its side
+   * earlier has not read the request, and resets the connection when the rest arrives.
+   */
+  private static boolean isAcknowledged(Channel channel) {
+    if (!(channel instanceof EpollSocketChannel socket) || !socket.isOpen()) {
+      return true;
+    }
+    try {
+      return socket.tcpInfo().unacked() == 0;
+    } catch (ChannelException e) {
+      EventLog.log(LogEvent.CONNECTION_STATE_UNKNOWN, channel.remoteAddress(), e.getMessage());
+      return true;
+    }
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     HttpResponseStatus status = ((HttpResponse) message).status();
--- a/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseGuard.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseGuard.java
@@ -44,7 +44,16 @@
     if (message instanceof HttpRequest request) {
       decoder.expectResponse(request.method());
     }
-    ctx.write(message, promise);
+    ChannelPromise written = promise.unvoid();
+    if (message instanceof LastHttpContent) {
+      written.addListener(
+          done -> {
+            if (done.isSuccess()) {
+              decoder.recordRequestSent();
+            }
+          });
+    }
+    ctx.write(message, written);
   }
 
   @Override
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -108,7 +108,9 @@
 
   private void recordSent(Future<? super Void> sent) {
     bodySent = sent.isSuccess();
-    if (!bodySent) {
+    if (bodySent) {
+      decoder.recordRequestSent();
+    } else {
       fail("request not sent completely: " + sent.cause().getClass().getSimpleName());
     }
   }
