--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -97,6 +97,11 @@
   STATEMENT_UNREADABLE(7110, Level.WARN, "upstream %s states a pause that is not understood: %s"),
   /** The system does not tell the state of a connection. */
   CONNECTION_STATE_UNKNOWN(7111, Level.DEBUG, "state of the connection to %s unknown: %s"),
+  /** A response to another request than the awaited one was skipped. */
+  RESPONSE_SKIPPED(
+      7112, Level.INFO, "response to request %s of upstream %s skipped, request %s is awaited"),
+  /** An upstream sent bytes on an idle connection. */
+  IDLE_CONNECTION_DISCARDED(7113, Level.INFO, "idle connection to %s closed: %s"),
   /** The first message of another VM has arrived. */
   PEER_HEARD(7201, Level.INFO, "first message of VM %s received from %s"),
   /** No message of another VM has arrived for 30 s. */
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -100,9 +100,14 @@
         new FeedMember(
             FeedAddress.number(settings.peers()), FeedMember.zoneKey(settings.zone().value()));
     this.feed = new ChangeFeed(self, settings.seeds(), time);
+    Telemetry telemetry = new Telemetry(new MetricRegistry(), time);
     UpstreamConnector connector =
         new UpstreamConnector(
-            loop, loops.onChannelClass(SocketChannel.class, loop), headerCodec, time::nowMillis);
+            loop,
+            loops.onChannelClass(SocketChannel.class, loop),
+            headerCodec,
+            telemetry,
+            time::nowMillis);
     Placement placement = new Placement(view, settings.zone());
     this.context =
         new RelayContext(
@@ -114,7 +119,7 @@
             placement,
             new CrashCheck(view, connector, placement, time),
             new RetryBudgets(settings.retryRatio(), settings.retrySlack()),
-            new Telemetry(new MetricRegistry(), time),
+            telemetry,
             new SplittableRandom(),
             time.nowMillis() + FIRST_CONFIGURATION_MILLIS);
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
@@ -13,6 +13,7 @@
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
+import org.ragworttide.gateway.upstream.ForeignBytesListener;
 import org.ragworttide.gateway.upstream.Upstream;
 
 /**
@@ -21,7 +22,7 @@
  *
  * <p>Confined to the event loop; the registry may be read by any thread.
  */
-public final class Telemetry {
+public final class Telemetry implements ForeignBytesListener {
   /** Lines logged per second for an event of served requests: a VM's usual load. */
   private static final int SERVED_LINES_PER_SECOND = 40;
 
@@ -89,6 +90,18 @@
     log(LogEvent.RELAY_ANSWERED, requestId, status, upstream, elapsedMillis);
   }
 
+  @Override
+  public void responseSkipped(UpstreamId upstream, String responseId, String awaitedId) {
+    metrics.counter("gateway_responses_skipped").inc();
+    log(LogEvent.RESPONSE_SKIPPED, responseId, upstream, awaitedId);
+  }
+
+  @Override
+  public void idleConnectionDiscarded(UpstreamId upstream, String reason) {
+    metrics.counter("gateway_idle_connections_discarded").inc();
+    log(LogEvent.IDLE_CONNECTION_DISCARDED, upstream, reason);
+  }
+
   void recordDisconnect(String requestId, long elapsedMillis) {
     metrics.counter("gateway_callers_left").inc();
     log(LogEvent.RELAY_CALLER_LEFT, requestId, elapsedMillis);
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -62,6 +62,7 @@
 
   private final Upstream upstream;
   private final HeaderCodec headerCodec;
+  private final ForeignBytesListener foreignBytes;
   private final java.util.function.LongSupplier clock;
   private final ResponseDecoder decoder = new ResponseDecoder();
   private Channel channel;
@@ -79,9 +80,13 @@
   private long idleSinceMillis;
 
   UpstreamConnection(
-      Upstream upstream, HeaderCodec headerCodec, java.util.function.LongSupplier clock) {
+      Upstream upstream,
+      HeaderCodec headerCodec,
+      ForeignBytesListener foreignBytes,
+      java.util.function.LongSupplier clock) {
     this.upstream = upstream;
     this.headerCodec = headerCodec;
+    this.foreignBytes = foreignBytes;
     this.clock = clock;
   }
 
@@ -201,6 +206,7 @@
     skipping = !metadata.requestId().equals(requestId) && !notRunWithoutId;
     if (skipping) {
       attributable = false;
+      foreignBytes.responseSkipped(upstream.entry().id(), metadata.requestId(), requestId);
       return;
     }
     // Another instance that has the address answers that the request is misdirected.
@@ -277,10 +283,14 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    fail(
-        cause instanceof CorruptedFrameException
-            ? cause.getMessage()
-            : "connection failed: " + cause.getClass().getSimpleName());
+    if (cause instanceof CorruptedFrameException) {
+      if (listener == null && !failed) {
+        foreignBytes.idleConnectionDiscarded(upstream.entry().id(), cause.getMessage());
+      }
+      fail(cause.getMessage());
+    } else {
+      fail("connection failed: " + cause.getClass().getSimpleName());
+    }
   }
 
   @Override
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
@@ -35,12 +35,18 @@
 
   private final Bootstrap bootstrap;
   private final HeaderCodec headerCodec;
+  private final ForeignBytesListener foreignBytes;
   private final LongSupplier clock;
 
   /** Creates a connector whose connections use the event loop. */
   public UpstreamConnector(
-      EventLoop loop, Class<? extends Channel> type, HeaderCodec headerCodec, LongSupplier clock) {
+      EventLoop loop,
+      Class<? extends Channel> type,
+      HeaderCodec headerCodec,
+      ForeignBytesListener foreignBytes,
+      LongSupplier clock) {
     this.headerCodec = headerCodec;
+    this.foreignBytes = foreignBytes;
     this.clock = clock;
     this.bootstrap =
         new Bootstrap()
@@ -89,7 +95,8 @@
 
   private void open(
       Upstream upstream, Consumer<UpstreamConnection> opened, Consumer<ConnectFailure> failed) {
-    UpstreamConnection connection = new UpstreamConnection(upstream, headerCodec, clock);
+    UpstreamConnection connection =
+        new UpstreamConnection(upstream, headerCodec, foreignBytes, clock);
     ChannelFuture connecting =
         bootstrap
             .clone()
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -38,6 +38,19 @@
       "HTTP/1.1 503 Service Unavailable\nnot-run: 1\nid: r1\nContent-Length: 0\n\n";
 
   private Upstream upstream;
+  private final List<String> foreign = new ArrayList<>();
+  private final ForeignBytesListener foreignBytes =
+      new ForeignBytesListener() {
+        @Override
+        public void responseSkipped(UpstreamId from, String responseId, String awaitedId) {
+          foreign.add(from + " skipped " + responseId + " for " + awaitedId);
+        }
+
+        @Override
+        public void idleConnectionDiscarded(UpstreamId from, String reason) {
+          foreign.add(from + " discarded");
+        }
+      };
 
   /** Creates an upstream without connections. */
   @BeforeMethod
@@ -55,6 +68,7 @@
                 0),
             new PeerLoads(),
             0);
+    foreign.clear();
   }
 
   private static final class Recorder implements AttemptListener {
@@ -89,7 +103,8 @@
 
   private EmbeddedChannel open() {
     EmbeddedChannel channel = new EmbeddedChannel();
-    new UpstreamConnection(upstream, new PlainHeaderCodec(), () -> 0).addTo(channel.pipeline());
+    new UpstreamConnection(upstream, new PlainHeaderCodec(), foreignBytes, () -> 0)
+        .addTo(channel.pipeline());
     return channel;
   }
 
@@ -138,6 +153,7 @@
     receive(channel, "HTTP/1.1 200 OK\nid: r1\nContent-Length: 2\n\nxx");
     receive(channel, "HTTP/1.1 200 OK\nid: r2\nContent-Length: 2\n\nab");
     assertEquals(recorder.events, List.of("200 r2", "ab", "ended"));
+    assertEquals(foreign, List.of("u skipped r1 for r2"));
   }
 
   @Test
@@ -226,6 +242,7 @@
     receiveExactly(channel, withLineEnds(REFUSAL).substring(0, length));
     assertFalse(channel.isActive());
     assertTrue(upstream.takeIdle(0).isEmpty());
+    assertEquals(foreign, List.of("u discarded"));
   }
 
   /** Guards against reuse of a connection whose decoder holds the beginning of another response. */
