Reject a response whose head contains another one, in the daemon's client too

Cause: a second response that breaks off within its head and arrives where the next response is due is joined with it by the decoder: the status of the first, the fields of the second. The gateway checked decoded heads since; the daemon's client, whose decoder is the same class, did not. The check is now in the decoder, so that each client that uses it has it; the gateway's regression test of the incident is in UpstreamConnectionTest.

--- a/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseDecoder.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -23,10 +24,11 @@
  * Decodes the responses on a connection to an upstream.
  *
  * <p>Invariants: bytes that are received while no response is expected are discarded and reported
- * as an exception; they never become a part of a later response. A response without a length is
- * complete only once the upstream has ended its side of the connection; a connection that is closed
- * in any other way ends it incomplete. The channel must allow half-closure, which tells the two
- * apart. Confined to the event loop.
+ * as an exception; they never become a part of a later response. A head that contains the head of
+ * another response is passed on as a decoding failure. A response without a length is complete only
+ * once the upstream has ended its side of the connection; a connection that is closed in any other
+ * way ends it incomplete. The channel must allow half-closure, which tells the two apart. Confined
+ * to the event loop.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
   private static final int MAX_HEADER_BYTES = 16_384;
@@ -88,6 +90,19 @@
     super.userEventTriggered(ctx, event);
   }
 
+  @Override
+  protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+    int decoded = out.size();
+    super.decode(ctx, in, out);
+    for (Object message : out.subList(decoded, out.size())) {
+      if (message instanceof HttpResponse response && response.decoderResult().isSuccess()) {
+        ResponseFraming.error(response)
+            .map(CorruptedFrameException::new)
+            .ifPresent(error -> response.setDecoderResult(DecoderResult.failure(error)));
+      }
+    }
+  }
+
   @Override
   protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
       throws Exception {
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/ResponseFraming.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseFraming.java
@@ -1,4 +1,4 @@
-package org.ragworttide.gateway.upstream;
+package org.ragworttide.daemon.upstream;
 
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -15,9 +15,9 @@
 
   private ResponseFraming() {}
 
-  /** Returns why the response cannot be used, empty if it is valid. */
+  /** Returns why a response that has been decoded cannot be used, empty if it is valid. */
   static Optional<String> error(HttpResponse response) {
-    if (response.decoderResult().isFailure() || !isKnown(response.protocolVersion())) {
+    if (!isKnown(response.protocolVersion())) {
       return Optional.of("response is not HTTP");
     }
     if (containsStatusLine(response)) {
--- a/daemon/src/test/java/org/ragworttide/daemon/upstream/UpstreamClientTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/upstream/UpstreamClientTest.java
@@ -15,8 +15,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -195,4 +197,26 @@
       Thread.sleep(200);
     }
   }
+
+  /** Beginnings of an extra response, each followed by the head of a failure. */
+  @DataProvider
+  public Object[][] tornHeads() {
+    String head = "HTTP/1.1 200 OK\r\nX-Extra: a\r\nContent-Length: 2\r\n\r\n";
+    return IntStream.range(1, head.length())
+        .mapToObj(length -> new Object[] {head.substring(0, length)})
+        .toArray(Object[][]::new);
+  }
+
+  /** Guards against the status of a torn success being joined with the fields of a failure. */
+  @Test(dataProvider = "tornHeads")
+  public void failureAfterTornExtraResponseIsNotReceivedAsSuccess(String torn) {
+    serve(
+        socket -> {
+          readHead(socket.getInputStream());
+          write(socket, torn + "HTTP/1.1 500 Internal Error\r\nContent-Length: 2\r\n\r\nno");
+          socket.getInputStream().read();
+        });
+    List<UpstreamEvent> events = send(HttpMethod.GET, new byte[0], true);
+    assertTrue(events.getFirst() instanceof UpstreamEvent.Failure, text(events));
+  }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -18,7 +18,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.ragworttide.daemon.upstream.ResponseDecoder;
 import org.ragworttide.gateway.HeaderCodec;
@@ -188,9 +187,11 @@
   }
 
   private void handleHead(HttpResponse response) {
-    Optional<String> error = ResponseFraming.error(response);
-    if (error.isPresent()) {
-      fail(error.get());
+    if (response.decoderResult().isFailure()) {
+      fail(
+          response.decoderResult().cause() instanceof CorruptedFrameException error
+              ? error.getMessage()
+              : "response is not HTTP");
       return;
     }
     if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -37,6 +37,13 @@
   private static final String REFUSAL =
       "HTTP/1.1 503 Service Unavailable\nnot-run: 1\nid: r1\nContent-Length: 0\n\n";
 
+  private static final List<String> SUCCESSES =
+      List.of(
+          "HTTP/1.1 200 OK\nid: r1\nreceipt: x\nContent-Length: 6\n\nabcdef",
+          "HTTP/1.1 200 OK\nContent-Length: 6\nreceipt: x\nid: r1\n\nabcdef",
+          "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\nid: r1\n\n6\nabcdef\n0\n\n",
+          "HTTP/1.1 200 OK\nreceipt: x\nDate: Sat, 05 Dec 2026 11:39:27 GMT\nid: r1\n\nabcdef");
+
   private Upstream upstream;
   private final List<String> foreign = new ArrayList<>();
   private final ForeignBytesListener foreignBytes =
@@ -270,6 +277,29 @@
     assertFalse(channel.isActive());
   }
 
+  /** Numbers of bytes after which an extra copy of a success breaks off, for each framing. */
+  @DataProvider
+  public Object[][] tornSuccesses() {
+    return SUCCESSES.stream()
+        .map(UpstreamConnectionTest::withLineEnds)
+        .flatMap(
+            success ->
+                IntStream.range(1, success.length())
+                    .mapToObj(length -> new Object[] {success.substring(0, length)}))
+        .toArray(Object[][]::new);
+  }
+
+  /** Guards against a failure with the status of a success that broke off before it (issue 34). */
+  @Test(dataProvider = "tornSuccesses")
+  public void failureAfterTornExtraResponseIsNotReceivedAsSuccess(String torn) {
+    EmbeddedChannel channel = open();
+    final Recorder recorder = send(channel, "r2");
+    receiveExactly(channel, torn);
+    receive(channel, "HTTP/1.1 500 Internal Error\nid: r2\nreceipt: y\nContent-Length: 2\n\nno");
+    channel.close();
+    assertEquals(recorder.events, List.of("broken"));
+  }
+
   /** Guards against a copy of a refusal that answers the next request on the connection. */
   @Test
   public void connectionIsNotReusedAfterRefusalWithoutId() {
