Do not take a refusal that has lost its id for that of the next request

What callers would see: a booking that an upstream runs is refused as not run, or runs at a second upstream. Cause: a refusal without an id is attributed to the request in flight. A copy of an earlier refusal that lacks its middle, or whose id is spoiled, has no id either. An upstream that names the request in its refusals does so in all of them, so one without an id is damaged. Evidence: UpstreamConnectionTest.refusalThatHasLostItsIdIsNotReceivedAsRefusalOfTheNextRequest failed before (the refusal was received). A refusal without an id on a connection that has received one with an id fails the request as possibly run and closes the connection.

--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -28,8 +28,9 @@
  *
  * <p>Invariant: a response reaches the listener only if it has the id of the listener's request, or
  * if it has no id and reports that the request has not run. A response to another request is
- * skipped completely. A connection is reused only while each response on it can be attributed to
- * one request: bytes that belong to no request end its use, at once if no request is in flight,
+ * skipped completely. Once a refusal with an id has been received, one without is damaged and ends
+ * the connection. A connection is reused only while each response on it can be attributed to one
+ * request: bytes that belong to no request end its use, at once if no request is in flight,
  * otherwise with the response, and so does a refusal without an id. Confined to the event loop.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
@@ -69,6 +70,7 @@
   private String requestId = "";
   private boolean skipping;
   private boolean attributable = true;
+  private boolean refusalsHaveIds;
   private boolean detached;
   private boolean keepAlive;
   private boolean failed;
@@ -204,6 +206,11 @@
     }
     ResponseMetadata metadata = headerCodec.readResponse(response);
     boolean notRunWithoutId = metadata.requestId().isEmpty() && metadata.notRun();
+    if (notRunWithoutId && refusalsHaveIds) {
+      fail("refusal has lost its id");
+      return;
+    }
+    refusalsHaveIds |= metadata.notRun();
     skipping = !metadata.requestId().equals(requestId) && !notRunWithoutId;
     if (skipping) {
       attributable = false;
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -311,6 +311,18 @@
     assertFalse(channel.isActive());
   }
 
+  /** Guards against a copy of a refusal without its id that is read as the next refusal. */
+  @Test
+  public void refusalThatHasLostItsIdIsNotReceivedAsRefusalOfTheNextRequest() {
+    EmbeddedChannel channel = open();
+    send(channel, "r1");
+    receive(channel, REFUSAL);
+    final Recorder recorder = send(channel, "r2");
+    receive(channel, REFUSAL.replace("id: r1\n", ""));
+    assertEquals(recorder.events, List.of("broken"));
+    assertFalse(channel.isActive());
+  }
+
   @Test
   public void connectionIsReusedAfterRefusalWithId() {
     EmbeddedChannel channel = open();
