Do not reuse a connection after any response without an id

Cause: a response without an id is accepted if the awaited request has none, and the connection was reused unless the response was a refusal. A late copy cannot be told from the response to the next request without an id. The rule for refusals without an id now covers all responses without one, so that such a response is the last on its connection.

--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -26,11 +26,12 @@
 /**
  * A connection to an upstream, which carries one request at a time.
  *
- * <p>Invariant: a response reaches the listener only if it has the id of the listener's request, or
- * if it has no id and reports that the request has not run. A response to another request is
- * skipped completely. A connection is reused only while each response on it can be attributed to
- * one request: bytes that belong to no request end its use, at once if no request is in flight,
- * otherwise with the response, and so does a refusal without an id. Confined to the event loop.
+ * <p>Invariant: a response reaches the listener only if it has the id of the listener's request,
+ * which may be none, or if it has no id and reports that the request has not run. A response to
+ * another request is skipped completely. A connection is reused only while each response on it can
+ * be attributed to one request: bytes that belong to no request end its use, at once if no request
+ * is in flight, otherwise with the response, and so does a response without an id. Confined to the
+ * event loop.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
   /** Share of the upstream's idle timeout after which the connection is not reused. */
@@ -214,8 +215,8 @@
     if (!response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
       upstream.recordStatement(metadata.statement(), clock.getAsLong());
     }
-    // A copy of a refusal without an id could not be told from the refusal of the next request.
-    attributable &= !notRunWithoutId;
+    // A copy of a response without an id could not be told from the response to the next request.
+    attributable &= !metadata.requestId().isEmpty();
     keepAlive = HttpUtil.isKeepAlive(response);
     idleTimeoutMillis = idleTimeoutMillis(response);
     if (!detached) {
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -311,6 +311,19 @@
     assertFalse(channel.isActive());
   }
 
+  /**
+   * Guards against a copy of a response without an id that answers the next request without one.
+   */
+  @Test
+  public void connectionIsNotReusedAfterResponseWithoutId() {
+    EmbeddedChannel channel = open();
+    Recorder recorder = send(channel, "");
+    receive(channel, "HTTP/1.1 200 OK\nreceipt: x\nContent-Length: 2\n\nab");
+    assertEquals(recorder.events, List.of("200 ", "ab", "ended"));
+    assertTrue(upstream.takeIdle(0).isEmpty());
+    assertFalse(channel.isActive());
+  }
+
   @Test
   public void connectionIsReusedAfterRefusalWithId() {
     EmbeddedChannel channel = open();
