Recognise a joined head by each form of a status line that decodes

What callers saw: nothing on the platform, whose upstreams write HTTP/1.1 and one space. Cause: the check of joined heads knew fewer forms than the decoder accepts. Evidence: UpstreamConnectionTest.failureWithUnusualStatusLineIsNotReceivedAsSuccess failed in all 8 cases before. The pattern is now as lenient as the decoder.

--- a/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseFraming.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseFraming.java
@@ -11,7 +11,8 @@
  * head is continued by the head of the next response, and the result mixes their fields. Stateless.
  */
 final class ResponseFraming {
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+  /** As lenient as the decoder, which accepts lower case and any white space. */
+  private static final Pattern STATUS_LINE = Pattern.compile("(?i)HTTP/\\d+\\.\\d+\\s+\\d{3}");
 
   private ResponseFraming() {}
 
@@ -43,6 +44,6 @@
   }
 
   private static boolean isStatusLine(String text) {
-    return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
+    return text.indexOf('/') >= 0 && STATUS_LINE.matcher(text).find();
   }
 }
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.placement.PeerLoads;
@@ -300,6 +301,27 @@
     assertEquals(recorder.events, List.of("broken"));
   }
 
+  /** Forms of a status line that the decoder takes for one, after beginnings of another head. */
+  @DataProvider
+  public Object[][] statusLineForms() {
+    return Stream.of("http/1.1 500", "HTTP/1.1  500", "HTTP/1.1\t500", "HTTP/1.10 500")
+        .flatMap(
+            form ->
+                Stream.of("HTTP/1.1 200 ", "HTTP/1.1 200 OK\nX: ")
+                    .map(torn -> new Object[] {form, torn}))
+        .toArray(Object[][]::new);
+  }
+
+  /** Guards against a check of joined heads that knows fewer forms than the decoder. */
+  @Test(dataProvider = "statusLineForms")
+  public void failureWithUnusualStatusLineIsNotReceivedAsSuccess(String form, String torn) {
+    EmbeddedChannel channel = open();
+    Recorder recorder = send(channel, "r2");
+    receive(channel, torn);
+    receive(channel, form + " Internal Error\nid: r2\nreceipt: y\nContent-Length: 2\n\nno");
+    assertEquals(recorder.events, List.of("broken"));
+  }
+
   /** Guards against a copy of a refusal that answers the next request on the connection. */
   @Test
   public void connectionIsNotReusedAfterRefusalWithoutId() {
