--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -312,8 +312,11 @@
   public void failureAfterLineWithoutColonIsNotReceivedAsSuccess(String line) {
     EmbeddedChannel channel = open();
     final Recorder recorder = send(channel, "r2");
-    receive(channel, "HTTP/1.1 200 OK\n" + line);
-    receive(channel, "HTTP/1.1 500 Internal Error\nid: r2\nreceipt: y\nContent-Length: 2\n\nno");
+    receive(
+        channel,
+        "HTTP/1.1 200 OK\n"
+            + line
+            + "HTTP/1.1 500 Internal Error\nid: r2\nreceipt: y\nContent-Length: 2\n\nno");
     assertEquals(recorder.events, List.of("broken"));
   }
 
@@ -325,7 +328,6 @@
     assertEquals(recorder.events, List.of("200 r1", "ab", "ended"));
   }
 
-
   /** Forms of a status line that the decoder takes for one, after beginnings of another head. */
   @DataProvider
   public Object[][] statusLineForms() {
@@ -367,6 +369,8 @@
     final Recorder recorder = send(channel, "r2");
     receive(channel, REFUSAL.replace("id: r1\n", ""));
     assertEquals(recorder.events, List.of("broken"));
+    assertFalse(channel.isActive());
+  }
 
   /**
    * Guards against a copy of a response without an id that answers the next request without one.
