Reject a head line without a colon, with which a status line was dropped

Cause: the HTTP decoder takes the text up to the first space for the name of a field and drops the rest of a line without a colon. If the beginning of another response ends in such a line, the status line of the response is dropped, and the check for joined heads cannot see it. A plain copy of a response has spaces only after a colon or in its status line, so this takes other bytes. Spaces before a colon are still accepted. The check is in ResponseDecoder, so the daemon's client has it too.

--- a/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseDecoder.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseDecoder.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 import org.ragworttide.daemon.log.EventLog;
@@ -127,6 +128,19 @@
     }
   }
 
+  /** Rejects a line without a colon after its name, of which the decoder would drop the rest. */
+  @Override
+  protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+    int end = start + length;
+    while (end < line.length && (line[end] == ' ' || line[end] == '\t')) {
+      end++;
+    }
+    if (end == line.length || line[end] != ':') {
+      throw new IllegalArgumentException("line of a head without a colon");
+    }
+    return super.splitHeaderName(line, start, length);
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     HttpResponseStatus status = ((HttpResponse) message).status();
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -300,6 +300,33 @@
     assertEquals(recorder.events, List.of("broken"));
   }
 
+  /** Beginnings of a success whose last line becomes one without a colon. */
+  @DataProvider
+  public Object[][] linesWithoutColon() {
+    return new Object[][] {{"X-Cut "}, {"X-Cut\t"}, {"X-Cut OK"}, {"receipt x: y\nX-Cut some "}};
+  }
+
+  /** Guards against a status line that the decoder drops with a line without a colon. */
+  @Test(dataProvider = "linesWithoutColon")
+  public void failureAfterLineWithoutColonIsNotReceivedAsSuccess(String line) {
+    EmbeddedChannel channel = open();
+    final Recorder recorder = send(channel, "r2");
+    receive(
+        channel,
+        "HTTP/1.1 200 OK\n"
+            + line
+            + "HTTP/1.1 500 Internal Error\nid: r2\nreceipt: y\nContent-Length: 2\n\nno");
+    assertEquals(recorder.events, List.of("broken"));
+  }
+
+  @Test
+  public void spaceBeforeTheColonOfFieldIsAccepted() {
+    EmbeddedChannel channel = open();
+    Recorder recorder = send(channel, "r1");
+    receive(channel, "HTTP/1.1 200 OK\nid : r1\nX-Empty \t:\nContent-Length: 2\n\nab");
+    assertEquals(recorder.events, List.of("200 r1", "ab", "ended"));
+  }
+
   /** Guards against a copy of a refusal that answers the next request on the connection. */
   @Test
   public void connectionIsNotReusedAfterRefusalWithoutId() {
