Accept only requests in a stop that end before the grace period does

Callers saw requests, bookings among them, end without an answer when a VM was stopped: requests were accepted until 2.7 s after SIGTERM whatever their deadline, and the process halted 0.5 s before the end of the grace period with requests running. With a grace period of 3 s or less nothing was ever refused.

CutAtStopTest runs gateways as processes. StopAdmission compares the longest time that a request may take with what remains, requests that outlast the stop get a final answer before the exit, and the exit waits until connections are closed.

--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -22,6 +22,9 @@
   LINES_DROPPED(1006, Level.WARN, "log lines dropped so far: %s"),
   /** The settings file was checked again; changed values take effect at the next start. */
   SETTINGS_RELOADED(1007, Level.INFO, "settings file checked: %s"),
+  /** The process stops at the end of the grace period and closes connections of callers. */
+  STOPPED_WITH_CONNECTIONS(
+      1008, Level.WARN, "grace period ends with %s open connections, %s with unsent responses"),
   /** A configuration version is in force. */
   CONFIGURATION_APPLIED(2001, Level.INFO, "configuration version %s in force, after %s"),
   /** A configuration version was refused, and the last valid one stays in force. */
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
+import org.ragworttide.coordination.admission.StopAdmission;
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
@@ -46,18 +47,6 @@
    */
   private static final long FLEET_SIZE_CHECK_MILLIS = 1_000;
 
-  /**
-   * Milliseconds from the start of a stop until idle connections are closed: callers may connect
-   * until two health checks have failed.
-   */
-  private static final long CLOSE_IDLE_AFTER_MILLIS = 2_000;
-
-  /**
-   * Milliseconds from the start of a stop until new requests are refused; earlier requests may use
-   * the whole grace period.
-   */
-  private static final long REFUSE_AFTER_MILLIS = 2_700;
-
   /**
    * Milliseconds for which a connection must be idle before a stop closes it: the time in which a
    * request that is in transit arrives.
@@ -76,17 +65,15 @@
    */
   private static final long MAX_READINESS_DELAY_MILLIS = 1_000;
 
-  /** Milliseconds of the grace period that are reserved for the exit of the process. */
-  private static final long EXIT_RESERVE_MILLIS = 500;
-
-  private static final long STOP_CHECK_MILLIS = 50;
+  private static final long STOP_CHECK_MILLIS = 20;
 
   private final GatewaySettings settings;
   private final EventLoop loop;
   private final LoopResources loops;
   private final TimerService time;
   private final FleetView view = new FleetView();
-  private final CallerConnections connections = new CallerConnections();
+  private final StopAdmission stopAdmission;
+  private final CallerConnections connections;
   private final RelayContext context;
   private final ChangeFeed feed;
 
@@ -100,6 +87,8 @@
         new FeedMember(
             FeedAddress.number(settings.peers()), FeedMember.zoneKey(settings.zone().value()));
     this.feed = new ChangeFeed(self, settings.seeds(), time);
+    this.stopAdmission = new StopAdmission(settings.graceMillis());
+    this.connections = new CallerConnections(stopAdmission);
     Telemetry telemetry = new Telemetry(new MetricRegistry(), time);
     UpstreamConnector connector =
         new UpstreamConnector(
@@ -117,6 +106,7 @@
             headerCodec,
             connector,
             placement,
+            stopAdmission,
             new CrashCheck(view, connector, placement, time),
             new RetryBudgets(settings.retryRatio(), settings.retrySlack()),
             telemetry,
@@ -191,37 +181,36 @@
   }
 
   private boolean isReady() {
-    return view.configuration().isPresent() && !connections.isDraining();
+    return view.configuration().isPresent() && !stopAdmission.isStopping();
   }
 
   /**
-   * Stops the gateway: reports to the platform that the VM is not ready, answers running requests,
-   * then closes connections.
+   * Stops the gateway: reports to the platform that the VM is not ready, refuses requests that
+   * might outlast the grace period, answers the others, then closes connections.
    *
-   * @param stopped called, possibly several times, when all received requests have been answered or
-   *     the grace period, less the time to exit, has passed
+   * @param stopped called, possibly several times, when all answers have been sent or the grace
+   *     period, less the time to exit, has passed
    */
   public void stop(Runnable stopped) {
+    long stopStartedAtMillis = time.nowMillis();
     loop.execute(
         () -> {
           EventLog.log(LogEvent.DRAINING, "signal");
-          connections.drain();
-          long stopStartedAtMillis = time.nowMillis();
-          time.every(STOP_CHECK_MILLIS, () -> stopStep(stopStartedAtMillis, stopped));
+          stopAdmission.begin(stopStartedAtMillis);
+          time.every(STOP_CHECK_MILLIS, () -> stopStep(stopped));
         });
   }
 
-  private void stopStep(long stopStartedAtMillis, Runnable stopped) {
+  private void stopStep(Runnable stopped) {
     long nowMillis = time.nowMillis();
-    long elapsedMillis = nowMillis - stopStartedAtMillis;
-    if (elapsedMillis >= CLOSE_IDLE_AFTER_MILLIS) {
-      connections.closeIdle(nowMillis, STOP_IDLE_MILLIS);
+    if (stopAdmission.closesIdleConnections(nowMillis)) {
+      connections.closeUnused(nowMillis, STOP_IDLE_MILLIS);
     }
-    if (elapsedMillis >= REFUSE_AFTER_MILLIS) {
-      connections.refuseRequests();
+    if (stopAdmission.areFinalAnswersDue(nowMillis)) {
+      connections.endRequests();
     }
-    boolean answered = elapsedMillis >= REFUSE_AFTER_MILLIS && connections.areAllIdle();
-    if (answered || elapsedMillis >= settings.graceMillis() - EXIT_RESERVE_MILLIS) {
+    if (stopAdmission.isExitDue(nowMillis, connections.areAnyOpen())) {
+      connections.logUnfinished();
       stopped.run();
     }
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/caller/CallerConnections.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/caller/CallerConnections.java
@@ -3,39 +3,31 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import org.ragworttide.coordination.admission.StopAdmission;
+import org.ragworttide.daemon.log.EventLog;
+import org.ragworttide.daemon.log.LogEvent;
 
 /**
- * Tracks the open connections of callers, closes idle ones and drains them all when the gateway
- * stops. Confined to the event loop.
+ * Tracks the open connections of callers, closes idle ones and ends the requests of all when the
+ * gateway stops. Confined to the event loop.
  */
 public final class CallerConnections {
   private final Set<CallerHandler> open = new LinkedHashSet<>();
-  private boolean draining;
-  private boolean refusing;
+  private final StopAdmission stopAdmission;
 
-  /** Starts draining: each following response closes its connection. */
-  public void drain() {
-    draining = true;
-  }
-
-  /** Refuses all following requests, because too little time remains to answer them. */
-  public void refuseRequests() {
-    refusing = true;
-  }
-
-  /** Returns whether requests are refused because the gateway is stopping. */
-  boolean isRefusing() {
-    return refusing;
+  /** Creates the connections of a gateway; each response closes its connection during a stop. */
+  public CallerConnections(StopAdmission stopAdmission) {
+    this.stopAdmission = stopAdmission;
   }
 
   /** Returns whether the gateway is stopping. */
-  public boolean isDraining() {
-    return draining;
+  boolean isStopping() {
+    return stopAdmission.isStopping();
   }
 
-  /** Returns whether no request is being received or answered. */
-  public boolean areAllIdle() {
-    return open.stream().allMatch(CallerHandler::isIdle);
+  /** Returns whether any connection is open, even if only to deliver the end of its response. */
+  public boolean areAnyOpen() {
+    return !open.isEmpty();
   }
 
   /** Closes the connections that have been idle for the given time. */
@@ -43,6 +35,27 @@
     new ArrayList<>(open).forEach(it -> it.closeIfIdle(nowMillis, idleMillis));
   }
 
+  /**
+   * Closes the connections that have been idle for the given time and whose callers have been sent
+   * their responses.
+   */
+  public void closeUnused(long nowMillis, long idleMillis) {
+    new ArrayList<>(open).forEach(it -> it.closeIfUnused(nowMillis, idleMillis));
+  }
+
+  /** Gives all requests that are being received or relayed their final answers. */
+  public void endRequests() {
+    new ArrayList<>(open).forEach(CallerHandler::endRequestAtStop);
+  }
+
+  /** Logs the connections that the exit of the process closes, if there are any. */
+  public void logUnfinished() {
+    if (!open.isEmpty()) {
+      long unsent = open.stream().filter(CallerHandler::hasUnsentBytes).count();
+      EventLog.log(LogEvent.STOPPED_WITH_CONNECTIONS, open.size(), unsent);
+    }
+  }
+
   void add(CallerHandler handler) {
     open.add(handler);
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/caller/CallerHandler.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/caller/CallerHandler.java
@@ -56,6 +56,7 @@
   private Exchange exchange;
   private boolean keepAlive = true;
   private boolean closing;
+  private ChannelFuture lastWrite;
   private long idleSinceMillis;
 
   CallerHandler(RelayContext context, CallerConnections connections) {
@@ -73,8 +74,22 @@
   }
 
   /** Returns whether no request is queued or being received or answered. */
-  boolean isIdle() {
-    return exchange == null && head == null && queued.isEmpty();
+  private boolean isIdle() {
+    return exchange == null && head == null && queued.isEmpty() && !headTimeout.isReceiving();
+  }
+
+  /** Returns whether a part of a response waits until the caller reads. */
+  boolean hasUnsentBytes() {
+    return lastWrite != null && !lastWrite.isDone();
+  }
+
+  /** Ends the request that is being received or relayed, because the gateway's stop ends. */
+  void endRequestAtStop() {
+    if (exchange != null) {
+      exchange.endAtStop();
+    } else if (head != null) {
+      reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "VM is stopping");
+    }
   }
 
   /** Closes the connection if it has been idle for the given time. */
@@ -84,6 +99,13 @@
     }
   }
 
+  /** Closes the connection if it has been idle for the given time and has sent all responses. */
+  void closeIfUnused(long nowMillis, long idleMillis) {
+    if (!hasUnsentBytes()) {
+      closeIfIdle(nowMillis, idleMillis);
+    }
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
@@ -187,22 +209,17 @@
     exchange = new Exchange(context, request, this);
     head = null;
     body = null;
-    if (connections.isRefusing()) {
-      exchange.refuseStopping();
-    } else {
-      // On a VM that reads late, the caller may have left already: the end of its connection is
-      // read
-      // before the task runs.
-      Exchange received = exchange;
-      channel
-          .eventLoop()
-          .execute(
-              () -> {
-                if (channel.isActive()) {
-                  received.start();
-                }
-              });
-    }
+    // On a VM that reads late, the caller may have left already: the end of its connection is read
+    // before the task runs.
+    Exchange received = exchange;
+    channel
+        .eventLoop()
+        .execute(
+            () -> {
+              if (channel.isActive() && exchange == received) {
+                received.start();
+              }
+            });
   }
 
   private void reject(HttpResponseStatus status, String reason) {
@@ -229,7 +246,7 @@
   @Override
   public void respond(FullHttpResponse response) {
     markConnection(response);
-    finish(channel.writeAndFlush(response));
+    finish(write(response));
   }
 
   @Override
@@ -240,12 +257,12 @@
 
   @Override
   public void send(ByteBuf chunk) {
-    channel.writeAndFlush(new DefaultHttpContent(chunk));
+    write(new DefaultHttpContent(chunk));
   }
 
   @Override
   public void end() {
-    finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+    finish(write(LastHttpContent.EMPTY_LAST_CONTENT));
   }
 
   @Override
@@ -261,15 +278,21 @@
   }
 
   private void markConnection(HttpResponse response) {
-    keepAlive = keepAlive && !connections.isDraining();
+    keepAlive = keepAlive && !connections.isStopping();
     if (!keepAlive) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
   }
 
+  private ChannelFuture write(Object message) {
+    lastWrite = channel.writeAndFlush(message);
+    return lastWrite;
+  }
+
   private void finish(ChannelFuture written) {
     exchange = null;
     idleSinceMillis = context.time().nowMillis();
+    written.addListener(done -> idleSinceMillis = context.time().nowMillis());
     if (keepAlive) {
       channel.eventLoop().execute(this::processQueued);
     } else {
--- a/gateway/src/main/java/org/ragworttide/gateway/caller/HeadTimeoutHandler.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/caller/HeadTimeoutHandler.java
@@ -31,6 +31,11 @@
     awaitingHead = true;
   }
 
+  /** Returns whether a part of a request's headers has been received in time. */
+  boolean isReceiving() {
+    return timer != null && !timer.isDone();
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (awaitingHead && timer == null) {
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -104,7 +104,9 @@
         new RequestSuspects(request, service, organisation.map(Organisation::name).orElse(""));
     context.retries().recordRequest(service);
     startDeadlineTimer();
-    place();
+    if (!refuseIfStopping()) {
+      place();
+    }
   }
 
   /**
@@ -121,9 +123,31 @@
     }
   }
 
-  /** Refuses the request because the VM is stopping. */
-  public void refuseStopping() {
-    refuse(Refusal.STOPPING, "VM is stopping");
+  /** Refuses a request that has not been passed on and might outlast the VM's stop. */
+  private boolean refuseIfStopping() {
+    boolean refused =
+        possibleRuns == 0
+            && !response.isBegun()
+            && !context.stopAdmission().admits(deadlineAtMillis);
+    if (refused) {
+      refuse(Refusal.STOPPING, "VM is stopping");
+    }
+    return refused;
+  }
+
+  /** Ends the request with a final answer because the VM's stop ends. */
+  public void endAtStop() {
+    if (done) {
+      return;
+    }
+    if (attempt != null) {
+      attempt.stop(route.kind().isRepeatable() || route.kind().isStream());
+    }
+    if (response.isBegun()) {
+      abort("VM is stopping");
+    } else {
+      refuse(possibleRuns > 0 ? Refusal.INTERRUPTED : Refusal.STOPPING, "VM is stopping");
+    }
   }
 
   /** Abandons the request because the caller has closed the connection. */
@@ -306,6 +330,11 @@
         place();
         return;
       }
+      if (refuseIfStopping()) {
+        end();
+        connection.cancel();
+        return;
+      }
       attempts++;
       possibleRuns++;
       upstream.load().availability().recordRequest(sentAtMillis);
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Refusal.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Refusal.java
@@ -11,7 +11,7 @@
 public enum Refusal {
   /** The VM has read no configuration yet. */
   NOT_CONFIGURED(HttpResponseStatus.SERVICE_UNAVAILABLE),
-  /** The VM is stopping and has too little time to answer the request. */
+  /** The VM is stopping and might have too little time to answer the request. */
   STOPPING(HttpResponseStatus.SERVICE_UNAVAILABLE),
   /** No route matches the host and path. */
   NO_ROUTE(HttpResponseStatus.NOT_FOUND),
@@ -27,6 +27,8 @@
   EXPIRED_UNSENT(HttpResponseStatus.SERVICE_UNAVAILABLE),
   /** The deadline passed after the request was sent; the request may have run. */
   EXPIRED(HttpResponseStatus.GATEWAY_TIMEOUT),
+  /** The VM stops before an upstream has answered; the request may have run. */
+  INTERRUPTED(HttpResponseStatus.GATEWAY_TIMEOUT),
   /** The upstream failed after the request was sent; the request may have run. */
   UPSTREAM_FAILED(HttpResponseStatus.BAD_GATEWAY);
 
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/RefusalResponse.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/RefusalResponse.java
@@ -13,6 +13,9 @@
   /** Mean milliseconds after which a refused caller may retry: the time to detect a failure. */
   private static final long MEAN_RETRY_AFTER_MILLIS = 250;
 
+  /** Mean milliseconds after which callers that a stopping VM refuses may retry at other VMs. */
+  private static final long STOPPING_RETRY_AFTER_MILLIS = 50;
+
   private static final double MILLIS_PER_SECOND = 1_000;
 
   private RefusalResponse() {}
@@ -29,8 +32,10 @@
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, refusal.status(), Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     if (refusal.isRetryable()) {
-      long leastMillis = Math.max(minDelayMillis, MEAN_RETRY_AFTER_MILLIS / 2);
-      long spreadMillis = Math.max(MEAN_RETRY_AFTER_MILLIS, leastMillis / 2);
+      long meanMillis =
+          refusal == Refusal.STOPPING ? STOPPING_RETRY_AFTER_MILLIS : MEAN_RETRY_AFTER_MILLIS;
+      long leastMillis = Math.max(minDelayMillis, meanMillis / 2);
+      long spreadMillis = Math.max(meanMillis, leastMillis / 2);
       double seconds = (leastMillis + random.nextLong(spreadMillis)) / MILLIS_PER_SECOND;
       String text = String.format(Locale.ROOT, "%.2f", seconds);
       response.headers().set(HttpHeaderNames.RETRY_AFTER, text);
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.SplittableRandom;
+import org.ragworttide.coordination.admission.StopAdmission;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.gateway.HeaderCodec;
 import org.ragworttide.gateway.upstream.UpstreamConnector;
@@ -18,6 +19,7 @@
  * @param headerCodec decodes and encodes headers
  * @param connector opens connections to upstreams
  * @param placement chooses upstreams
+ * @param stopAdmission decides which requests may be passed on while the VM is being stopped
  * @param crashCheck finds out whether upstreams have crashed
  * @param retries limits retries
  * @param telemetry updates metrics and logs events
@@ -31,6 +33,7 @@
     HeaderCodec headerCodec,
     UpstreamConnector connector,
     Placement placement,
+    StopAdmission stopAdmission,
     CrashCheck crashCheck,
     RetryBudgets retries,
     Telemetry telemetry,
