Finish every answer before a stopping daemon closes its connections

Callers of a daemon that was stopped lost the last chunk of the stream that ended last, and answers to requests that had arrived on kept connections while the drain waited for an abandoned booking. A request was counted as ended before its answer was, and the drain did not look at the requests again after that wait.

The counter of requests is now closed in one step with the check that it is zero, requests end after their answers, and connections flush before they close.

--- a/daemon/src/main/java/org/ragworttide/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/CallerHandler.java
@@ -32,6 +32,7 @@
 final class CallerHandler
     implements BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> {
   private static final Duration WRITE_GRACE = Duration.ofSeconds(5);
+  private static final long STOPPED_RETRY_MILLIS = 1_000;
 
   private final RequestHeadValidator headValidator;
   private final BodyReader bodyReader;
@@ -57,13 +58,23 @@
 
   @Override
   public Publisher<Void> apply(HttpServerRequest request, HttpServerResponse response) {
+    return Mono.defer(
+        () ->
+            drain.requests().tryIncrement()
+                ? handleCounted(request, response)
+                : refuseStopped(request, response));
+  }
+
+  private Mono<Void> handleCounted(HttpServerRequest request, HttpServerResponse response) {
+    // The request ends after the end of its answer has been written, not before.
     return Mono.using(
-        () -> {
-          drain.requests().increment();
-          return drain.requests();
-        },
-        unused -> handle(request, response),
-        InFlightCounter::decrement);
+        drain::requests, unused -> handle(request, response), InFlightCounter::decrement, false);
+  }
+
+  private Mono<Void> refuseStopped(HttpServerRequest request, HttpServerResponse response) {
+    Problem problem =
+        Problem.notRun(ProblemCode.NOT_READY, "the daemon has stopped", STOPPED_RETRY_MILLIS);
+    return refuseUnread(problem, response, requestId(request));
   }
 
   private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
--- a/daemon/src/main/java/org/ragworttide/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/caller/CallerServer.java
@@ -1,5 +1,7 @@
 package org.ragworttide.daemon.caller;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.ssl.SslContext;
@@ -24,6 +26,9 @@
  * <p>Safe for use by any thread.
  */
 public final class CallerServer {
+  /** Longest time for which a closed server sends what has been written; callers may not read. */
+  private static final Duration FLUSH_TIMEOUT = Duration.ofSeconds(2);
+
   private final RunningRequests running = new RunningRequests();
   private final DrainState drain = new DrainState();
   private final ChannelGroup connections = new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE);
@@ -131,14 +136,36 @@
         .then(Mono.delay(Duration.ofMillis(settings.drainNoticeMillis())))
         .then(Mono.fromRunnable(server::dispose))
         .then(Mono.defer(server::onDispose))
-        .then(Mono.defer(() -> drain.requests().whenIdle()))
-        .then(Mono.defer(() -> relay.claimedRuns().whenIdle()));
+        .then(Mono.defer(this::awaitLastRequest));
+  }
+
+  /** Completes when no request is in progress and none is accepted any more. */
+  private Mono<Void> awaitLastRequest() {
+    return drain
+        .requests()
+        .whenIdle()
+        .then(Mono.defer(() -> relay.claimedRuns().whenIdle()))
+        .then(
+            Mono.defer(
+                () ->
+                    drain.requests().closeIfIdle()
+                        ? relay.claimedRuns().whenIdle()
+                        : awaitLastRequest()));
   }
 
-  /** Stops listening and closes all connections. */
+  /** Stops listening and closes all connections, after what has been written to them is sent. */
   public Mono<Void> close() {
     return Mono.fromRunnable(server::dispose)
         .then(Mono.defer(server::onDispose))
-        .then(Mono.fromRunnable(connections::close));
+        .then(Mono.fromRunnable(this::closeConnections));
+  }
+
+  private void closeConnections() {
+    connections.forEach(
+        connection ->
+            connection
+                .writeAndFlush(Unpooled.EMPTY_BUFFER)
+                .addListener(ChannelFutureListener.CLOSE));
+    Mono.delay(FLUSH_TIMEOUT).subscribe(unused -> connections.close());
   }
 }
--- a/daemon/src/test/java/org/ragworttide/daemon/DrainTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/DrainTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeoutException;
 import org.ragworttide.daemon.caller.CallerSettings;
 import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
 
 /** Tests that a drain interrupts no running request. */
 public final class DrainTest {
@@ -84,6 +85,77 @@
     }
   }
 
+  @Test
+  public void lastStreamOfStopIsReceivedToItsLastChunk() throws Exception {
+    for (int run = 0; run < 20; run++) {
+      CountDownLatch finish = new CountDownLatch(1);
+      ScriptedUpstream.Script slow =
+          exchange -> {
+            exchange.streamHead();
+            exchange.event("{\"n\":0}");
+            await(finish);
+            exchange.endStream();
+          };
+      try (PathFixture path = PathFixture.start(withNotice(0), slow)) {
+        RawCaller caller = new RawCaller(path.http.callerAddress());
+        caller.post(PathFixture.CHAT, PathFixture.STREAMED_CHAT);
+        caller.readUntil("\"n\":0");
+        final CompletableFuture<Void> stopped = stop(path);
+        awaitRefusedConnections(path);
+        finish.countDown();
+        String end = caller.readUntil("\r\n0\r\n\r\n");
+        assertTrue(end.endsWith("\r\n0\r\n\r\n"), "run " + run + " received " + end);
+        stopped.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+      }
+    }
+  }
+
+  @Test
+  public void requestThatArrivesWhileAnAbandonedBookingRunsIsAnswered() throws Exception {
+    CountDownLatch booked = new CountDownLatch(1);
+    CountDownLatch finishBooking = new CountDownLatch(1);
+    CountDownLatch lateArrived = new CountDownLatch(1);
+    CountDownLatch finishLate = new CountDownLatch(1);
+    ScriptedUpstream.Script script =
+        exchange -> {
+          if (exchange.request().line().contains("/bookings")) {
+            booked.countDown();
+            await(finishBooking);
+          } else if (exchange.request().line().contains("late")) {
+            lateArrived.countDown();
+            await(finishLate);
+          }
+          exchange.json("{}");
+        };
+    try (PathFixture path = PathFixture.start(withNotice(0), script)) {
+      RawCaller kept = new RawCaller(path.http.callerAddress());
+      kept.post("/stock", "{}");
+      kept.readUntil("{}");
+      HttpResponse<String> abandoned =
+          path.send(
+              path.post("/bookings", "{}")
+                  .header("Idempotency-Key", "k-1")
+                  .header("Request-Timeout-Ms", "500"));
+      assertEquals(abandoned.statusCode(), 504);
+      assertTrue(booked.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+      final CompletableFuture<Void> stopped = stop(path);
+      awaitRefusedConnections(path);
+      kept.post("/stock?late", "{}");
+      assertTrue(lateArrived.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+      finishBooking.countDown();
+      assertStillDraining(stopped);
+      finishLate.countDown();
+      String answer = kept.readUntil("{}");
+      assertTrue(answer.contains("200 OK") && answer.endsWith("{}"), answer);
+      stopped.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+  }
+
+  /** Stops the path as the daemon does. */
+  private static CompletableFuture<Void> stop(PathFixture path) {
+    return path.http.drain().then(Mono.defer(path.http::close)).toFuture();
+  }
+
   private static void assertStillDraining(CompletableFuture<Void> drained) {
     assertThrows(
         TimeoutException.class, () -> drained.get(STILL_RUNNING_MILLIS, TimeUnit.MILLISECONDS));
