Pass on the refusal of a request without an id after refusals with ids

What callers saw: a request without an id that a full upstream refused was answered 502 instead of with the refusal, if an earlier refusal on the connection had an id; it lost the promise that it had not run. The refusal of a request without an id rightly has none. Evidence: UpstreamConnectionTest.refusalOfRequestWithoutIdIsReceivedAfterRefusalWithId failed before ("broken" instead of the 503). Such a refusal still ends the connection, because no response without an id may be followed by another.

--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -207,7 +207,7 @@
     }
     ResponseMetadata metadata = headerCodec.readResponse(response);
     boolean notRunWithoutId = metadata.requestId().isEmpty() && metadata.notRun();
-    if (notRunWithoutId && refusalsHaveIds) {
+    if (notRunWithoutId && refusalsHaveIds && !requestId.isEmpty()) {
       fail("refusal has lost its id");
       return;
     }
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -372,6 +372,18 @@
     assertFalse(channel.isActive());
   }
 
+  /** Guards against a promise that is lost because earlier refusals named their requests. */
+  @Test
+  public void refusalOfRequestWithoutIdIsReceivedAfterRefusalWithId() {
+    EmbeddedChannel channel = open();
+    send(channel, "r1");
+    receive(channel, REFUSAL);
+    final Recorder recorder = send(channel, "");
+    receive(channel, REFUSAL.replace("id: r1\n", ""));
+    assertEquals(recorder.events, List.of("503 ", "ended"));
+    assertFalse(channel.isActive());
+  }
+
   /**
    * Guards against a copy of a response without an id that answers the next request without one.
    */
