--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -103,8 +103,8 @@
   /** A response to another request than the awaited one was skipped. */
   RESPONSE_SKIPPED(
       7112, Level.INFO, "response to request %s of upstream %s skipped, request %s is awaited"),
-  /** An upstream sent bytes on an idle connection. */
-  IDLE_CONNECTION_DISCARDED(7113, Level.INFO, "idle connection to %s closed: %s"),
+  /** An upstream sent bytes that belong to no request. */
+  CONNECTION_DISCARDED(7113, Level.INFO, "connection to %s closed: %s"),
   /** The first message of another VM has arrived. */
   PEER_HEARD(7201, Level.INFO, "first message of VM %s received from %s"),
   /** No message of another VM has arrived for 30 s. */
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
@@ -97,9 +97,9 @@
   }
 
   @Override
-  public void idleConnectionDiscarded(UpstreamId upstream, String reason) {
-    metrics.counter("gateway_idle_connections_discarded").inc();
-    log(LogEvent.IDLE_CONNECTION_DISCARDED, upstream, reason);
+  public void connectionDiscarded(UpstreamId upstream, String reason) {
+    metrics.counter("gateway_connections_discarded").inc();
+    log(LogEvent.CONNECTION_DISCARDED, upstream, reason);
   }
 
   void recordDisconnect(String requestId, long elapsedMillis) {
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/ForeignBytesListener.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/ForeignBytesListener.java
@@ -16,6 +16,6 @@
    */
   void responseSkipped(UpstreamId upstream, String responseId, String awaitedId);
 
-  /** Called when an idle connection is closed because bytes have been received on it. */
-  void idleConnectionDiscarded(UpstreamId upstream, String reason);
+  /** Called when a connection is closed because bytes without a request have been received. */
+  void connectionDiscarded(UpstreamId upstream, String reason);
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -264,7 +264,11 @@
     channel.config().setAutoRead(true);
     decoder.endResponse();
     boolean connected = channel.isActive() && !decoder.isInputEnded();
-    boolean reusable = keepAlive && attributable && !decoder.hasUndecodedBytes();
+    boolean trailingBytes = decoder.hasUndecodedBytes();
+    if (trailingBytes) {
+      foreignBytes.connectionDiscarded(upstream.entry().id(), "bytes received after a response");
+    }
+    boolean reusable = keepAlive && attributable && !trailingBytes;
     if (reusable && bodySent && connected) {
       upstream.putIdle(this);
     } else if (bodySent || !channel.isActive()) {
@@ -294,7 +298,7 @@
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (cause instanceof CorruptedFrameException) {
       if (listener == null && !failed) {
-        foreignBytes.idleConnectionDiscarded(upstream.entry().id(), cause.getMessage());
+        foreignBytes.connectionDiscarded(upstream.entry().id(), cause.getMessage());
       }
       fail(cause.getMessage());
     } else {
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamBytesFuzzTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamBytesFuzzTest.java
@@ -295,7 +295,7 @@
         public void responseSkipped(UpstreamId from, String responseId, String awaitedId) {}
 
         @Override
-        public void idleConnectionDiscarded(UpstreamId from, String reason) {}
+        public void connectionDiscarded(UpstreamId from, String reason) {}
       };
 
   /** A random sequence of requests, reads and ends of connections, which a seed determines. */
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -55,7 +55,7 @@
         }
 
         @Override
-        public void idleConnectionDiscarded(UpstreamId from, String reason) {
+        public void connectionDiscarded(UpstreamId from, String reason) {
           foreign.add(from + " discarded");
         }
       };
@@ -265,6 +265,7 @@
     assertEquals(recorder.events, List.of("200 r1", "ab", "ended"));
     assertTrue(upstream.takeIdle(0).isEmpty());
     assertFalse(channel.isActive());
+    assertEquals(foreign, List.of("u discarded"));
   }
 
   /** Guards against a torn head that arrives after the next request has been sent. */
