Release the events of a stream that have been passed on

Cause: EventSplitter collected a stream in one buffer and returned retained slices of it. A slice keeps the whole buffer, so a stream held all its bytes until its end.

The fix works because the splitter gives away the buffer that it has filled and moves the incomplete event, which is bounded, to another one.

--- a/gateway/src/main/java/org/ragworttide/gateway/relay/EventSplitter.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/EventSplitter.java
@@ -2,14 +2,16 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
  * Splits a stream of server-sent events into complete events and keeps the id of the last one.
  *
- * <p>Invariant: the returned bytes end at the end of an event, so a stream that is interrupted in
- * the middle of an event can be continued. Confined to one thread.
+ * <p>Invariants: the returned bytes end at the end of an event, so a stream that is interrupted in
+ * the middle of an event can be continued; only the incomplete event is kept, however long the
+ * stream is. Confined to one thread.
  */
 final class EventSplitter {
   /** Largest incomplete event: a thousand times a usual one. */
@@ -18,12 +20,14 @@
   private static final byte LINE_FEED = '\n';
   private static final byte CARRIAGE_RETURN = '\r';
 
-  private final ByteBuf pending;
+  private final ByteBufAllocator allocator;
+  private ByteBuf pending;
   private int scanned;
   private boolean lineEmpty = true;
   private Optional<String> lastId = Optional.empty();
 
   EventSplitter(ByteBufAllocator allocator) {
+    this.allocator = allocator;
     this.pending = allocator.buffer();
   }
 
@@ -33,7 +37,10 @@
     chunk.release();
   }
 
-  /** Removes and returns all complete events; the returned buffer is empty if there is none. */
+  /**
+   * Removes and returns all complete events; the returned buffer, which the caller owns, is empty
+   * if there is none.
+   */
   ByteBuf takeEvents() {
     int end = 0;
     int readable = pending.readableBytes();
@@ -49,7 +56,14 @@
       }
     }
     scanned = readable - end;
-    ByteBuf events = pending.readRetainedSlice(end);
+    if (end == 0) {
+      return Unpooled.EMPTY_BUFFER;
+    }
+    // The returned events may wait to be written, so the incomplete event moves to another buffer.
+    ByteBuf events = pending;
+    pending = allocator.buffer();
+    pending.writeBytes(events, events.readerIndex() + end, scanned);
+    events.writerIndex(events.readerIndex() + end);
     recordLastId(events);
     return events;
   }
@@ -81,9 +95,6 @@
   }
 
   private void recordLastId(ByteBuf events) {
-    if (!events.isReadable()) {
-      return;
-    }
     for (String line : events.toString(StandardCharsets.UTF_8).split("\r?\n")) {
       if (line.startsWith("id:")) {
         lastId = Optional.of(line.substring("id:".length()).strip());
--- a/gateway/src/test/java/org/ragworttide/gateway/relay/EventSplitterTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/relay/EventSplitterTest.java
@@ -8,6 +8,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.testng.annotations.Test;
 
@@ -56,4 +58,42 @@
     assertEquals(all.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     assertEquals(splitter.lastId(), Optional.of("2"));
   }
+
+  /** Guards against a stream that keeps all events that it has passed on until its end. */
+  @Test
+  public void eventsThatWerePassedOnAreNotKept() {
+    UnpooledByteBufAllocator allocator = new UnpooledByteBufAllocator(false);
+    EventSplitter stream = new EventSplitter(allocator);
+    String event = "id: 1\ndata: " + "a".repeat(10_000) + "\n\n";
+    for (int i = 0; i < 1_000; i++) {
+      stream.add(Unpooled.copiedBuffer(event, StandardCharsets.UTF_8));
+      ByteBuf events = stream.takeEvents();
+      assertEquals(events.readableBytes(), event.length());
+      events.release();
+    }
+    long keptBytes = allocator.metric().usedHeapMemory();
+    assertTrue(keptBytes < 4L * event.length(), keptBytes + " bytes are kept");
+    stream.release();
+    assertEquals(allocator.metric().usedHeapMemory(), 0);
+  }
+
+  /** Events that wait to be written must not change when the stream goes on. */
+  @Test
+  public void returnedEventsStayUnchangedWhileTheStreamGoesOn() {
+    EventSplitter stream = new EventSplitter(UnpooledByteBufAllocator.DEFAULT);
+    List<ByteBuf> waiting = new ArrayList<>();
+    for (int i = 0; i < 50; i++) {
+      String chunk = "half\n\nid: " + i + "\ndata: ";
+      stream.add(Unpooled.copiedBuffer(chunk, StandardCharsets.UTF_8));
+      waiting.add(stream.takeEvents());
+    }
+    stream.discardPartialEvent();
+    stream.release();
+    assertEquals(waiting.getFirst().toString(StandardCharsets.UTF_8), "half\n\n");
+    for (int i = 1; i < waiting.size(); i++) {
+      assertEquals(
+          waiting.get(i).toString(StandardCharsets.UTF_8), "id: " + (i - 1) + "\ndata: half\n\n");
+    }
+    waiting.forEach(ByteBuf::release);
+  }
 }
