Cut off answers of the platform that exceed the largest document

PlatformClient collected a whole answer before it compared its size with the limit of 1 MB: an answer without end was kept until the timeout of 3 s (23 s for a watch) or the end of the daemon's memory.

The fix works because the part that exceeds the limit ends the call, which closes the connection.

--- a/daemon/src/main/java/org/ragworttide/daemon/platform/PlatformClient.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/platform/PlatformClient.java
@@ -1,6 +1,7 @@
 package org.ragworttide.daemon.platform;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -9,8 +10,9 @@
 /**
  * Reads and watches the documents that the platform publishes.
  *
- * <p>Invariant: the client only reads; every failure is a {@link PlatformReply.Unavailable}, never
- * an error signal. Safe for use by any thread.
+ * <p>Invariants: the client only reads; every failure is a {@link PlatformReply.Unavailable}, never
+ * an error signal; of an answer, no more than the largest document is kept. Safe for use by any
+ * thread.
  */
 public final class PlatformClient {
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(3);
@@ -41,15 +43,24 @@
   private Mono<PlatformReply> call(String uri, Duration timeout) {
     return http.get()
         .uri(uri)
-        .responseSingle(
+        .response(
             (response, body) ->
                 body.asByteArray()
-                    .defaultIfEmpty(new byte[0])
-                    .map(bytes -> interpret(response, bytes)))
+                    .collect(ByteArrayOutputStream::new, PlatformClient::append)
+                    .map(bytes -> interpret(response, bytes.toByteArray())))
+        .next()
         .timeout(timeout)
         .onErrorResume(e -> Mono.just(new PlatformReply.Unavailable(String.valueOf(e))));
   }
 
+  /** Adds a part of an answer; an error ends the call and closes its connection. */
+  private static void append(ByteArrayOutputStream body, byte[] part) {
+    if (body.size() + part.length > MAX_DOCUMENT_BYTES) {
+      throw new IllegalStateException("document exceeds " + MAX_DOCUMENT_BYTES + " bytes");
+    }
+    body.writeBytes(part);
+  }
+
   private static PlatformReply interpret(HttpClientResponse response, byte[] body) {
     if (response.status().equals(HttpResponseStatus.NO_CONTENT)) {
       return new PlatformReply.Unchanged();
@@ -57,9 +68,6 @@
     if (!response.status().equals(HttpResponseStatus.OK)) {
       return new PlatformReply.Unavailable("status " + response.status().code());
     }
-    if (body.length > MAX_DOCUMENT_BYTES) {
-      return new PlatformReply.Unavailable("document exceeds " + MAX_DOCUMENT_BYTES + " bytes");
-    }
     try {
       long version = Long.parseLong(response.responseHeaders().get("Version", ""));
       return new PlatformReply.Published(version, body);
