--- a/daemon/src/test/java/org/ragworttide/daemon/upstream/UpstreamClientTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/upstream/UpstreamClientTest.java
@@ -13,8 +13,11 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -32,6 +35,18 @@
 
   private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
 
+  private static final String INTERIM = "HTTP/1.1 100 Continue\r\n\r\n";
+  private static final String EARLY_HINTS = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+
+  /** Time in which the client receives what is sent before a reset. */
+  private static final long RESET_DELAY_MILLIS = 20;
+
+  /** Time in which a connection is returned to the pool. */
+  private static final long POOLING_MILLIS = 10;
+
+  /** Bytes between two cuts that are resets, which take longer. */
+  private static final int RESET_STEP = 3;
+
   /** Serves a connection of the client. */
   private interface Script {
     void serve(Socket socket) throws IOException, InterruptedException;
@@ -219,4 +234,83 @@
     List<UpstreamEvent> events = send(HttpMethod.GET, new byte[0], true);
     assertTrue(events.getFirst() instanceof UpstreamEvent.Failure, text(events));
   }
+
+  /** Complete responses, bytes before them, and whether the requests are idempotent. */
+  @DataProvider
+  public Object[][] responses() {
+    String head = "HTTP/1.1 200 OK\r\n";
+    String chunks = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n10\r\n0123456789abcdef\r\n0\r\n";
+    List<Object[]> responses = new ArrayList<>();
+    for (String before : new String[] {"", INTERIM, EARLY_HINTS, OK + "ab"}) {
+      for (boolean idempotent : new boolean[] {true, false}) {
+        if (idempotent || !before.startsWith(OK)) {
+          responses.add(
+              new Object[] {before, head + "Content-Length: 3\r\n\r\nabc", "abc", idempotent});
+          responses.add(
+              new Object[] {
+                before, head + chunks + "X-Trailer: a\r\n\r\n", "abc0123456789abcdef", idempotent
+              });
+          responses.add(new Object[] {before, head + "\r\n", "", idempotent});
+        }
+      }
+    }
+    return responses.toArray(Object[][]::new);
+  }
+
+  /**
+   * Guards against a response that ends early, in its head or body, being taken for a whole one.
+   */
+  @Test(dataProvider = "responses")
+  public void responseThatIsCutOffIsIncomplete(
+      String before, String response, String body, boolean idempotent) {
+    boolean kept = before.startsWith(OK);
+    AtomicInteger cut = new AtomicInteger();
+    AtomicInteger reused = new AtomicInteger();
+    AtomicBoolean reset = new AtomicBoolean();
+    serve(
+        socket -> {
+          readHead(socket.getInputStream());
+          write(socket, before);
+          if (kept) {
+            readHead(socket.getInputStream());
+            reused.incrementAndGet();
+          }
+          write(socket, response.substring(0, cut.get()));
+          if (reset.get()) {
+            Thread.sleep(RESET_DELAY_MILLIS);
+            socket.setSoLinger(true, 0);
+          }
+        });
+    int cuts = 0;
+    for (int ending = 0; ending <= 1; ending++) {
+      reset.set(ending == 1);
+      for (int length = 0; length < response.length(); length += reset.get() ? RESET_STEP : 1) {
+        cuts++;
+        cut.set(length);
+        List<UpstreamEvent> events = sendAfter(before, idempotent);
+        String message = "cut at " + length + ", reset " + reset + ": " + text(events);
+        assertTrue(events.getLast() instanceof UpstreamEvent.Failure, message);
+      }
+    }
+    reset.set(false);
+    cut.set(response.length());
+    assertEquals(text(sendAfter(before, idempotent)), "200 " + body);
+    assertEquals(reused.get(), kept ? cuts + 1 : 0);
+  }
+
+  private List<UpstreamEvent> sendAfter(String before, boolean idempotent) {
+    if (before.startsWith(OK)) {
+      assertEquals(text(send(HttpMethod.GET, new byte[0], true)), "200 ab");
+      pause(POOLING_MILLIS);
+    }
+    return send(HttpMethod.GET, new byte[0], idempotent);
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
 }
