--- a/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -131,6 +132,17 @@
             .build());
   }
 
+  /** Opens a connection to a daemon as a caller does. */
+  Socket connect(int daemon) throws IOException {
+    Socket socket = new Socket("127.0.0.1", ports.get(daemon)[0]);
+    socket.setSoTimeout((int) TIMEOUT_MILLIS);
+    return socket;
+  }
+
+  boolean isAlive(int daemon) {
+    return processes.get(daemon).isAlive();
+  }
+
   String status(int daemon) {
     HttpRequest request =
         HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + ports.get(daemon)[1] + "/status"))
@@ -194,7 +206,8 @@
     return report.append('\n').append(log()).toString();
   }
 
-  private String log() {
+  /** Returns what the daemons have written. */
+  String log() {
     try {
       return Files.readString(folder.resolve("log"));
     } catch (IOException e) {
