--- a/daemon/src/test/java/org/ragworttide/daemon/upstream/UpstreamClientTest.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/upstream/UpstreamClientTest.java
@@ -198,6 +198,22 @@
     }
   }
 
+  /** Guards against a late second response being read as the response to the next request. */
+  @Test(groups = "known-red")
+  public void extraResponseBeforeTheNextResponseReachesNoOtherRequest() {
+    serve(
+        socket -> {
+          readHead(socket.getInputStream());
+          write(socket, OK + "ab");
+          readHead(socket.getInputStream());
+          write(socket, OK + "no" + OK + "ab");
+          socket.getInputStream().read();
+        });
+    for (int i = 0; i < 4; i++) {
+      assertEquals(text(send(HttpMethod.GET, new byte[0], true)), "200 ab");
+    }
+  }
+
   /** Beginnings of an extra response, each followed by the head of a failure. */
   @DataProvider
   public Object[][] tornHeads() {
