--- a/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -92,6 +93,25 @@
     processes.get(daemon).destroyForcibly().waitFor();
   }
 
+  /** Sends SIGTERM. */
+  void terminate(int daemon) {
+    processes.get(daemon).destroy();
+  }
+
+  /** Waits for the end of a daemon and returns its exit code. */
+  int awaitExit(int daemon) throws InterruptedException {
+    Process process = processes.get(daemon);
+    assertTrue(process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), "no exit\n" + log());
+    return process.exitValue();
+  }
+
+  /** Opens a connection as a caller does. */
+  Socket connect(int daemon) throws IOException {
+    Socket socket = new Socket("127.0.0.1", ports.get(daemon)[0]);
+    socket.setSoTimeout((int) TIMEOUT_MILLIS);
+    return socket;
+  }
+
   void freeze(int daemon) throws IOException, InterruptedException {
     signal(daemon, "-STOP");
   }
