Recognise a second status line with other spaces in a head

Cause: the decoder accepts several spaces and tabs in a status line, the check for joined heads only a single space.

--- a/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseFraming.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseFraming.java
@@ -11,7 +11,7 @@
  * head is continued by the head of the next response, and the result mixes their fields. Stateless.
  */
 final class ResponseFraming {
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01]\\s+\\d{3}");
 
   private ResponseFraming() {}
 
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -319,6 +319,26 @@
     assertEquals(recorder.events, List.of("broken"));
   }
 
+  /** Spaces that the decoder accepts within a status line. */
+  @DataProvider
+  public Object[][] spaces() {
+    return new Object[][] {{" "}, {"  "}, {"\t"}, {" \t "}, {"\f"}};
+  }
+
+  /** Guards against a torn success that hides a status line with other spaces than a single one. */
+  @Test(dataProvider = "spaces")
+  public void failureWithUnusualStatusLineIsNotReceivedAsSuccess(String space) {
+    EmbeddedChannel channel = open();
+    final Recorder recorder = send(channel, "r2");
+    receive(
+        channel,
+        "HTTP/1.1 200 OK\nX-Extra: HTTP/1.1"
+            + space
+            + "500 Internal Error\nid: r2\nreceipt: y\nContent-Length: 2\n\nno");
+    channel.close();
+    assertEquals(recorder.events, List.of("broken"));
+  }
+
   @Test
   public void spaceBeforeTheColonOfFieldIsAccepted() {
     EmbeddedChannel channel = open();
