--- a/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
+++ b/daemon/src/test/java/org/ragworttide/daemon/process/DaemonProcesses.java
@@ -151,13 +151,6 @@
             .build());
   }
 
-  /** Opens a connection to a daemon as a caller does. */
-  Socket connect(int daemon) throws IOException {
-    Socket socket = new Socket("127.0.0.1", ports.get(daemon)[0]);
-    socket.setSoTimeout((int) TIMEOUT_MILLIS);
-    return socket;
-  }
-
   boolean isAlive(int daemon) {
     return processes.get(daemon).isAlive();
   }
