Copy the parts of a request's body into one buffer

What callers saw (in a test): a gateway that answered nobody any more, since its event loop had ended with "OutOfMemoryError: Java heap space".

Cause: CallerHandler kept an object and a slice for each chunk of a body. The limit on the size of a body did not bound its memory: chunks of one byte take over a hundred times their size.

Evidence: SmallRequestChunksTest sends ten bodies of 1 MB, the limit, in chunks of one byte to a gateway with the memory of the deploy file.

The fix works because the bytes of a body are copied into one growing buffer, so that its memory follows from its size.

--- a/gateway/src/main/java/org/ragworttide/gateway/caller/CallerHandler.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/caller/CallerHandler.java
@@ -1,7 +1,6 @@
 package org.ragworttide.gateway.caller;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -51,7 +50,7 @@
   private HeadTimeoutHandler headTimeout;
   private Channel channel;
   private HttpRequest head;
-  private CompositeByteBuf body;
+  private ByteBuf body;
   private long headReceivedAtMillis;
   private Exchange exchange;
   private boolean keepAlive = true;
@@ -175,7 +174,7 @@
     head = request;
     headReceivedAtMillis = context.time().nowMillis();
     keepAlive = HttpUtil.isKeepAlive(request);
-    body = channel.alloc().compositeBuffer(Integer.MAX_VALUE);
+    body = channel.alloc().buffer();
     if (HttpUtil.is100ContinueExpected(request)) {
       channel.writeAndFlush(
           new DefaultFullHttpResponse(
@@ -193,9 +192,8 @@
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too long");
       return;
     }
-    if (content.content().isReadable()) {
-      body.addComponent(true, content.content().retain());
-    }
+    // Copied, since a chunk of a few bytes would keep objects many times its size.
+    body.writeBytes(content.content());
     if (content instanceof LastHttpContent) {
       start();
     }
