Count the bytes of statements between VMs

What VMs send each other is bounded by 4 KB/s, but no metric of the gateway showed it. gateway_peer_bytes_sent and gateway_peer_bytes_received do, for the comparison of statements before and after a change.

--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -152,7 +152,7 @@
         loops.onChannelClass(ServerSocketChannel.class, loop),
         loops.onChannelClass(SocketChannel.class, loop),
         settings.peers());
-    new PeerExchange(settings, view, feed, time)
+    new PeerExchange(settings, view, feed, time, context.telemetry().metrics())
         .start(loop, loops.onChannelClass(DatagramChannel.class, loop));
     serveReadiness();
     settings.metrics().ifPresent(this::serveMetrics);
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -1,5 +1,7 @@
 package org.ragworttide.gateway.peer;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -85,6 +87,8 @@
   private final Random random = new Random();
   private final ZoneId zone;
   private final ChangeFeed feed;
+  private final Counter bytesSent;
+  private final Counter bytesReceived;
   private final Map<Long, KnownPeer> peers = new HashMap<>();
   private final RepeatedItems<PromptIndex.Holding> holdings = new RepeatedItems<>(MAX_HOLDINGS);
   private Channel channel;
@@ -105,9 +109,16 @@
    * @param view the VM's view of the fleet
    * @param feed the changes of the store, which receives the known VMs
    * @param time the clock and timers of the event loop
+   * @param metrics receives the numbers of bytes
    */
   public PeerExchange(
-      GatewaySettings settings, FleetView view, ChangeFeed feed, TimerService time) {
+      GatewaySettings settings,
+      FleetView view,
+      ChangeFeed feed,
+      TimerService time,
+      MetricRegistry metrics) {
+    this.bytesSent = metrics.counter("gateway_peer_bytes_sent");
+    this.bytesReceived = metrics.counter("gateway_peer_bytes_received");
     this.vm = settings.vm();
     this.zone = settings.zone();
     this.address = settings.peers();
@@ -143,6 +154,7 @@
   }
 
   private void receive(byte[] bytes, InetSocketAddress sender) {
+    bytesReceived.inc(bytes.length);
     PeerStatement.decode(bytes)
         .ifPresentOrElse(
             statement -> receive(statement, sender),
@@ -231,6 +243,7 @@
   }
 
   private void send(byte[] statement, InetSocketAddress to) {
+    bytesSent.inc(statement.length);
     channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(statement), to));
   }
 
