Keep to the request limits that upstreams name

Cause: the header was logged only. A limit is meant for the whole fleet, while each VM sees a sliver of the upstream's requests and learns of the limit with its first answer, seconds after others.

The limit is now part of what an upstream states (UpstreamStatement, StatedAvailability), with leaving and pause, read at each placement and once more when a connection is ready. A few VMs, 3 + 1.5 x limit, which all choose alike by a hash, send to the upstream in turn, each at an equal part. So in four seconds it receives at most 4 x limit + one request of each, 5.5 x limit + 3, where 6 x limit + 5 are allowed, at any size of the fleet. Requests beyond all limits are refused at once as not run.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/AdmissionFilter.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/AdmissionFilter.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * Filters candidates so that cold upstreams receive few requests, and those that are leaving or
- * want a pause none; stateless.
+ * Filters candidates so that cold upstreams and those that name a limit receive few requests, and
+ * those that are leaving or want a pause none; stateless.
  */
 final class AdmissionFilter {
 
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/PeerLoads.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/PeerLoads.java
@@ -24,6 +24,7 @@
 
   private final Map<VmId, Statement> statements = new HashMap<>();
   private final Map<Integer, Integer> totals = new HashMap<>();
+  private final FleetMembers members = new FleetMembers();
   private int knownPeers;
 
   private record Statement(
@@ -72,6 +73,11 @@
     return totals.getOrDefault(key, 0);
   }
 
+  /** Returns the VMs that share the limits that upstreams name. */
+  public FleetMembers members() {
+    return members;
+  }
+
   /** Sets the number of other VMs that are known, including VMs without a recent statement. */
   public void setKnownPeers(int vms) {
     knownPeers = vms;
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
@@ -64,7 +64,7 @@
     this.startUnixMillis = startUnixMillis;
     this.peers = peers;
     this.cold = new ColdAllowance(peers);
-    this.availability = new StatedAvailability(idHash);
+    this.availability = new StatedAvailability(idHash, peers.members());
     slots(slots);
   }
 
@@ -161,6 +161,11 @@
     return Math.max(ownAndStated, reportedRequests + startedSinceReport);
   }
 
+  /** Returns the key that identifies this incarnation of the upstream in the statements of VMs. */
+  public int incarnationKey() {
+    return key() ^ Long.hashCode(startUnixMillis);
+  }
+
   /** Returns the key that identifies the upstream in the statements of VMs. */
   public int key() {
     return PeerLoads.key(idHash);
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/StatedAvailabilityTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/StatedAvailabilityTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.testng.annotations.DataProvider;
@@ -20,7 +21,7 @@
   private static final long SECOND = 1_000;
 
   private static StatedAvailability availability() {
-    return new StatedAvailability(7);
+    return new StatedAvailability(7, new FleetMembers());
   }
 
   @Test
@@ -98,6 +99,34 @@
     assertTrue(later.remainingPauseMillis(NOW + 3 * SECOND).isPresent());
   }
 
+  @Test
+  public void allThreeStatementsHoldAtTheSameTime() {
+    StatedAvailability availability = availability();
+    availability.recordLeaving(NOW);
+    availability.recordPause(500, NOW);
+    availability.recordLimit(new RequestLimit(OptionalDouble.of(1), NOW), NOW);
+    assertFalse(availability.admitsAsLastResort(NOW + 499));
+    assertTrue(availability.admitsAsLastResort(NOW + 900));
+    availability.recordRequest(NOW + 900);
+    assertFalse(availability.admitsAsLastResort(NOW + 901));
+    assertEquals(availability.waitMillis(NOW + 901), 999);
+    availability.recordLimit(new RequestLimit(OptionalDouble.empty(), NOW + 902), NOW + 902);
+    assertTrue(availability.admitsAsLastResort(NOW + 902));
+    assertFalse(availability.admits(NOW + 902));
+    assertTrue(availability.isStated(NOW + 902));
+  }
+
+  @Test
+  public void entryThatIsPublishedAgainInheritsItsLimit() {
+    StatedAvailability earlier = availability();
+    earlier.recordLimit(new RequestLimit(OptionalDouble.of(1), NOW), NOW);
+    earlier.recordRequest(NOW);
+    StatedAvailability later = availability();
+    later.inherit(earlier);
+    assertFalse(later.admitsAsLastResort(NOW + 999));
+    assertTrue(later.admits(NOW + 1_000));
+  }
+
   /** Numbers of VMs. */
   @DataProvider
   public Object[][] fleets() {
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -97,7 +97,8 @@
   /** An upstream wants no requests for some time. */
   UPSTREAM_PAUSED(7109, Level.INFO, "upstream %s wants no requests for %s ms, paused for %s ms"),
   /** A statement of an upstream is not understood. */
-  STATEMENT_UNREADABLE(7110, Level.WARN, "upstream %s states a pause that is not understood: %s"),
+  STATEMENT_UNREADABLE(
+      7110, Level.WARN, "upstream %s makes a statement that is not understood: %s"),
   /** The system does not tell the state of a connection. */
   CONNECTION_STATE_UNKNOWN(7111, Level.DEBUG, "state of the connection to %s unknown: %s"),
   /** A response to another request than the awaited one was skipped. */
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -21,6 +21,7 @@
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.id.ZoneId;
+import org.ragworttide.coordination.placement.LimitRotation;
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
@@ -67,6 +68,12 @@
   /** Cached prompt parts in a statement, ten bytes each: half of its size in a small fleet. */
   private static final int MAX_HOLDINGS = 32;
 
+  /**
+   * VMs that are assumed to share the limits of upstreams while none is known, as for cold
+   * upstreams: this VM may be cut off from them.
+   */
+  private static final int ASSUMED_VMS = 10;
+
   /**
    * Number of VMs above which a broadcast reaches {@link #MAX_SAMPLED_PEERS} random ones: no budget
    * would let statements of all reach all within a second, and each costs processor time.
@@ -91,6 +98,7 @@
   private final Counter bytesReceived;
   private final Map<Long, KnownPeer> peers = new HashMap<>();
   private final RepeatedItems<PromptIndex.Holding> holdings = new RepeatedItems<>(MAX_HOLDINGS);
+  private final LimitRotation limits = new LimitRotation();
   private Channel channel;
   private long sequence;
   private long discoveredAtMillis;
@@ -127,6 +135,9 @@
     this.feed = feed;
     this.time = time;
     this.discoveredAtMillis = time.nowMillis();
+    if (!seeds.stream().allMatch(address::equals)) {
+      view.peers().members().assume(ASSUMED_VMS);
+    }
   }
 
   /** Starts listening and broadcasting. */
@@ -179,6 +190,7 @@
             statement.inFlight(),
             now);
     statement.holdings().forEach(holding -> view.prompts().recordPeerHolding(holding, now));
+    statement.limits().forEach(limit -> view.recordPeerLimit(limit.moveTime(now), now));
     view.recordPeerSuspicions(statement.vm(), statement.suspicions().moveTimes(now), now);
     long ownNumber = FeedAddress.number(address);
     for (PeerStatement.KnownVm known : statement.known()) {
@@ -225,6 +237,7 @@
     if (membersChanged) {
       membersChanged = false;
       feed.setMembers(peers.values().stream().map(KnownPeer::member).toList());
+      view.peers().members().set(FeedAddress.number(address), peers.keySet(), now);
     }
     byte[] statement = nextStatement().encode();
     int maxRecipients =
@@ -268,7 +281,8 @@
         discovers ? sampleKnownPeers() : List.of(),
         inFlight,
         holdings.next(view.prompts().drainNewHoldings()),
-        view.crashes().nextStatement(now).moveTimes(-now));
+        view.crashes().nextStatement(now).moveTimes(-now),
+        limits.next(view.requestLimits(now)).stream().map(it -> it.moveTime(-now)).toList());
   }
 
   private boolean isDiscoveryPeriod() {
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
@@ -14,22 +14,25 @@
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.placement.PromptIndex;
+import org.ragworttide.coordination.placement.StatedLimit;
 import org.ragworttide.coordination.quarantine.Clearance;
 import org.ragworttide.coordination.quarantine.CrashReport;
 import org.ragworttide.coordination.quarantine.SuspicionStatement;
 
 /**
  * Statement that a VM sends to its peers: its requests in flight at each upstream, the VMs that it
- * knows, prompts that engines have cached, what it suspects of crashing upstreams and the revision
- * of the store that it knows.
+ * knows, prompts that engines have cached, what it suspects of crashing upstreams, what upstreams
+ * have stated to all VMs and the revision of the store that it knows.
  *
  * <p>The encoding is that of protobuf, with these fields: 1 name, 2 incarnation, 3 sequence, 5
  * upstream keys, 6 requests, in the keys' order, 7 prompt parts, 8 the engines that have cached
  * them, in the parts' order, 11 zone key of the VM, 12 revision, 13 known VMs (8 bytes address, 4
  * bytes zone key, 1 byte seconds since it was heard), 14 crashes (4 bytes suspect, 4 bytes
  * upstream, 2 bytes age of the break in units of 10 ms, 2 bytes milliseconds from the sending of
- * the request to the break), 15 clearances (4 bytes suspect, 2 bytes age in units of 10 ms). Fields
- * 9 and 10 are those of earlier builds. Immutable, safe for use by any thread.
+ * the request to the break), 15 clearances (4 bytes suspect, 2 bytes age in units of 10 ms), 16
+ * request limits (4 bytes upstream, 2 bytes age in units of 10 ms, 4 bytes thousandths of a request
+ * per second, negative for none). Fields 9 and 10 are those of earlier builds; unknown fields, and
+ * bytes that follow those of a limit, are ignored. Immutable, safe for use by any thread.
  *
  * @param vm the VM that sends the statement
  * @param incarnation distinguishes the VM's process runs
@@ -41,6 +44,7 @@
  * @param holdings prompt parts that engines have recently cached for its requests
  * @param suspicions what it suspects of crashing upstreams; the times are relative to that of the
  *     statement, thus negative
+ * @param limits request limits that upstreams have named; the times are relative as well
  */
 record PeerStatement(
     VmId vm,
@@ -51,7 +55,8 @@
     List<KnownVm> known,
     Map<Integer, Integer> inFlight,
     List<PromptIndex.Holding> holdings,
-    SuspicionStatement suspicions) {
+    SuspicionStatement suspicions,
+    List<StatedLimit> limits) {
   private static final int VM = 1;
   private static final int INCARNATION = 2;
   private static final int SEQUENCE = 3;
@@ -64,6 +69,7 @@
   private static final int KNOWN = 13;
   private static final int CRASH = 14;
   private static final int CLEARANCE = 15;
+  private static final int LIMIT = 16;
   private static final int KNOWN_BYTES = Long.BYTES + Integer.BYTES + 1;
   private static final int MAX_SILENT_SECONDS = 255;
 
@@ -82,6 +88,7 @@
     known = List.copyOf(known);
     inFlight = Map.copyOf(inFlight);
     holdings = List.copyOf(holdings);
+    limits = List.copyOf(limits);
   }
 
   byte[] encode() {
@@ -110,6 +117,9 @@
       for (Clearance clearance : suspicions.clearances()) {
         out.writeByteArray(CLEARANCE, SuspicionCodec.bytes(clearance));
       }
+      for (StatedLimit limit : limits) {
+        out.writeByteArray(LIMIT, LimitCodec.bytes(limit));
+      }
       out.flush();
     } catch (IOException e) {
       throw new IllegalStateException("writing to a byte array failed", e);
@@ -131,6 +141,7 @@
     int key = 0;
     List<CrashReport> crashes = new ArrayList<>();
     List<Clearance> clearances = new ArrayList<>();
+    List<StatedLimit> limits = new ArrayList<>();
     int part = 0;
     try {
       for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
@@ -147,6 +158,7 @@
           case HOLDER -> holdings.add(new PromptIndex.Holding(part, in.readFixed32()));
           case CRASH -> crashes.add(SuspicionCodec.report(in.readByteArray()));
           case CLEARANCE -> clearances.add(SuspicionCodec.clearance(in.readByteArray()));
+          case LIMIT -> limits.add(LimitCodec.limit(in.readByteArray()));
           default -> in.skipField(tag);
         }
       }
@@ -160,7 +172,8 @@
               known,
               inFlight,
               holdings,
-              new SuspicionStatement(crashes, clearances)));
+              new SuspicionStatement(crashes, clearances),
+              limits));
     } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/SuspicionCodec.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/SuspicionCodec.java
@@ -15,8 +15,6 @@
 final class SuspicionCodec {
   private static final int REPORT_HEAD_BYTES = Integer.BYTES + 2 * Short.BYTES;
   private static final int CLEARANCE_BYTES = Integer.BYTES + Short.BYTES;
-  private static final int MAX_UNSIGNED_SHORT = 0xffff;
-  private static final long AGE_UNIT_MILLIS = 10;
 
   private SuspicionCodec() {}
 
@@ -24,8 +22,8 @@
     ByteBuffer out =
         ByteBuffer.allocate(REPORT_HEAD_BYTES + Integer.BYTES * report.suspects().size())
             .putInt(report.upstream())
-            .putShort(age(report.brokenAtMillis()))
-            .putShort(unsignedShort(report.brokenAtMillis() - report.sentAtMillis()));
+            .putShort(StatedAge.encode(report.brokenAtMillis()))
+            .putShort(StatedAge.unsignedShort(report.brokenAtMillis() - report.sentAtMillis()));
     report.suspects().forEach(suspect -> out.putInt(suspect.id()));
     return out.array();
   }
@@ -33,7 +31,7 @@
   static byte[] bytes(Clearance clearance) {
     return ByteBuffer.allocate(CLEARANCE_BYTES)
         .putInt(clearance.suspect().id())
-        .putShort(age(clearance.answeredAtMillis()))
+        .putShort(StatedAge.encode(clearance.answeredAtMillis()))
         .array();
   }
 
@@ -44,7 +42,7 @@
     }
     ByteBuffer in = ByteBuffer.wrap(bytes);
     int upstream = in.getInt();
-    long brokenAtMillis = time(in);
+    long brokenAtMillis = StatedAge.decode(in);
     long sentAtMillis = brokenAtMillis - Short.toUnsignedInt(in.getShort());
     Set<Suspect> suspects = new HashSet<>();
     while (in.hasRemaining()) {
@@ -58,19 +56,6 @@
       throw new IOException("a clearance of " + bytes.length + " bytes");
     }
     ByteBuffer in = ByteBuffer.wrap(bytes);
-    return new Clearance(new Suspect(in.getInt()), time(in));
-  }
-
-  /** Rounds up, so that no VM makes a crash younger by passing it on, and all forget it in time. */
-  private static short age(long timeMillis) {
-    return unsignedShort(Math.ceilDiv(-timeMillis, AGE_UNIT_MILLIS));
-  }
-
-  private static long time(ByteBuffer in) {
-    return -Short.toUnsignedInt(in.getShort()) * AGE_UNIT_MILLIS;
-  }
-
-  private static short unsignedShort(long value) {
-    return (short) Math.clamp(value, 0, MAX_UNSIGNED_SHORT);
+    return new Clearance(new Suspect(in.getInt()), StatedAge.decode(in));
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -201,7 +201,13 @@
     Optional<Upstream> chosen =
         context.placement().choose(service, request.metadata().prompt(), tried, now);
     if (chosen.isEmpty()) {
-      refuseOrAbort("no upstream of service " + service + " is available");
+      if (tried.isEmpty() && context.placement().isLimited(service, now)) {
+        refuse(
+            Refusal.UPSTREAMS_LIMITED,
+            "no upstream of service " + service + " accepts more requests now");
+      } else {
+        refuseOrAbort("no upstream of service " + service + " is available");
+      }
       return;
     }
     Optional<Prompt> prompt = request.metadata().prompt();
@@ -263,11 +269,9 @@
 
   private void refuse(Refusal refusal, String cause) {
     context.telemetry().recordRefusal(request.metadata().id(), refusal, cause, elapsedMillis());
-    long pauseMillis =
-        service == null
-            ? 0
-            : context.placement().remainingPauseMillis(service, context.time().nowMillis());
-    caller.respond(RefusalResponse.of(refusal, pauseMillis, context.random()));
+    long waitMillis =
+        service == null ? 0 : context.placement().waitMillis(service, context.time().nowMillis());
+    caller.respond(RefusalResponse.of(refusal, waitMillis, context.random()));
     finish();
   }
 
@@ -325,6 +329,7 @@
       }
       sentAtMillis = context.time().nowMillis();
       if (!upstream.load().availability().admitsAsLastResort(sentAtMillis)) {
+        context.telemetry().recordWithheldAttempt();
         end();
         connection.cancel();
         place();
@@ -446,7 +451,6 @@
                   upstream
                       .load()
                       .recordReport(it.running(), it.waiting(), context.time().nowMillis()));
-      upstream.recordRequestLimit(received.requestLimit());
       response.setHead(head, route.kind().isStream());
     }
 
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
@@ -58,16 +58,22 @@
   }
 
   /**
-   * Returns the milliseconds until the first of the service's available upstreams ends its pause; 0
-   * if one of them wants requests or is only leaving.
+   * Returns the milliseconds until the pause or limit of one of the service's available upstreams
+   * admits a request; 0 if one of them wants requests or is only leaving.
    */
-  long remainingPauseMillis(ServiceName service, long nowMillis) {
+  long waitMillis(ServiceName service, long nowMillis) {
     return view.availableUpstreams(service).stream()
-        .mapToLong(it -> it.load().availability().remainingPauseMillis(nowMillis).orElse(0))
+        .mapToLong(it -> it.load().availability().waitMillis(nowMillis))
         .min()
         .orElse(0);
   }
 
+  /** Returns whether an available upstream of the service names a limit on requests. */
+  boolean isLimited(ServiceName service, long nowMillis) {
+    return view.availableUpstreams(service).stream()
+        .anyMatch(it -> it.load().availability().limit(nowMillis).isPresent());
+  }
+
   /** Returns an engine other than the chosen one that is likely to have the prompt cached. */
   Optional<Upstream> fetchSource(
       ServiceName service, Optional<Prompt> prompt, Upstream chosen, long nowMillis) {
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Refusal.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Refusal.java
@@ -21,6 +21,8 @@
   HELD_BACK(HttpResponseStatus.SERVICE_UNAVAILABLE),
   /** The service has no available upstream. */
   NO_UPSTREAM(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  /** Every available upstream wants no request now, and at least one because of its limit. */
+  UPSTREAMS_LIMITED(HttpResponseStatus.SERVICE_UNAVAILABLE),
   /** No upstream that was tried has run the request: each reported so or was unreachable. */
   UPSTREAMS_FULL(HttpResponseStatus.SERVICE_UNAVAILABLE),
   /** The deadline passed; the request was not sent, or no upstream that received it has run it. */
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/ResponseMetadata.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/ResponseMetadata.java
@@ -1,7 +1,6 @@
 package org.ragworttide.gateway.relay;
 
 import java.util.Optional;
-import java.util.OptionalDouble;
 
 /**
  * Metadata that the headers of an upstream's response carry.
@@ -14,8 +13,6 @@
  * @param encoded whether the body has a content encoding, which means that it has been changed on
  *     its way
  * @param load the upstream's load, if the response reports it
- * @param requestLimit the requests per second that the upstream accepts from all VMs together, if
- *     the response names a limit
  * @param statement what the upstream states about the requests that it wants
  */
 public record ResponseMetadata(
@@ -24,7 +21,6 @@
     boolean notRun,
     boolean encoded,
     Optional<Load> load,
-    OptionalDouble requestLimit,
     UpstreamStatement statement) {
 
   /**
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
@@ -79,6 +79,11 @@
     log(LogEvent.RELAY_ATTEMPT_FAILED, requestId, upstream, reason, elapsedMillis);
   }
 
+  /** Records that an upstream's statement arrived while the connection for a request was opened. */
+  void recordWithheldAttempt() {
+    metrics.counter("gateway_attempts_withheld").inc();
+  }
+
   void recordAbort(String requestId, String reason, long elapsedMillis) {
     metrics.counter("gateway_aborted").inc();
     log(LogEvent.RELAY_ABORTED, requestId, reason, elapsedMillis);
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
@@ -3,8 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.ragworttide.coordination.placement.PeerLoads;
+import org.ragworttide.coordination.placement.RequestLimit;
 import org.ragworttide.coordination.placement.StatedAvailability;
 import org.ragworttide.coordination.placement.UpstreamLoad;
 import org.ragworttide.daemon.log.EventLog;
@@ -23,7 +23,6 @@
   private final UpstreamLoad load;
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
   private UpstreamEntry entry;
-  private OptionalDouble requestLimit = OptionalDouble.empty();
   private boolean loggedUnreadable;
   private boolean closed;
 
@@ -49,7 +48,7 @@
    * Returns the key of this incarnation of the upstream, which VMs exchange in their statements.
    */
   public int incarnationKey() {
-    return load.key() ^ Long.hashCode(entry.startedAtMillis());
+    return load.incarnationKey();
   }
 
   /** Returns whether the entry belongs to this incarnation of the upstream. */
@@ -67,16 +66,15 @@
   }
 
   /**
-   * Records the requests per second that the upstream accepts from all VMs together, as its newest
-   * answer names them; empty if it names none.
+   * Records the requests per second that the upstream accepts from all VMs together, as it has
+   * named them to this or another VM.
    */
-  public void recordRequestLimit(OptionalDouble perSecond) {
-    if (!perSecond.equals(requestLimit)) {
-      requestLimit = perSecond;
+  public void recordRequestLimit(RequestLimit limit, long nowMillis) {
+    if (load.availability().recordLimit(limit, nowMillis)) {
       EventLog.log(
           LogEvent.REQUEST_LIMIT_NAMED,
           entry.id(),
-          perSecond.isPresent() ? perSecond.getAsDouble() : "any number of");
+          limit.perSecond().isPresent() ? limit.perSecond().getAsDouble() : "any number of");
     }
   }
 
@@ -86,6 +84,9 @@
     if (statement.leaving() && availability.recordLeaving(nowMillis)) {
       EventLog.log(LogEvent.UPSTREAM_LEAVING, entry.id());
     }
+    if (statement.requestLimit().isPresent() || statement.endsLimit()) {
+      recordRequestLimit(new RequestLimit(statement.requestLimit(), nowMillis), nowMillis);
+    }
     if (statement.pauseMillis().isPresent()) {
       long millis = statement.pauseMillis().getAsLong();
       if (availability.recordPause(millis, nowMillis)) {
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -18,6 +18,8 @@
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.placement.PeerLoads;
 import org.ragworttide.coordination.placement.PromptIndex;
+import org.ragworttide.coordination.placement.RequestLimit;
+import org.ragworttide.coordination.placement.StatedLimit;
 import org.ragworttide.coordination.quarantine.CrashReport;
 import org.ragworttide.coordination.quarantine.CrashSuspicions;
 import org.ragworttide.coordination.quarantine.Suspect;
@@ -43,17 +45,18 @@
  */
 public final class FleetView {
   /** Removed upstreams that are kept: as many as a fleet replaces within minutes. */
-  private static final int MAX_REMOVED_LEAVING = 1_024;
+  private static final int MAX_REMOVED_STATED = 1_024;
 
   private final Map<UpstreamId, Upstream> upstreams = new HashMap<>();
+  private final Map<Integer, Upstream> byIncarnation = new HashMap<>();
   private final Map<ServiceName, List<Upstream>> byService = new HashMap<>();
 
-  /** Removed upstreams that were leaving, whose entries may be published again. */
-  private final Map<UpstreamId, Upstream> removedLeaving =
+  /** Removed upstreams that had stated something, whose entries may be published again. */
+  private final Map<UpstreamId, Upstream> removedStated =
       new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<UpstreamId, Upstream> eldest) {
-          return size() > MAX_REMOVED_LEAVING;
+          return size() > MAX_REMOVED_STATED;
         }
       };
 
@@ -109,11 +112,12 @@
     }
     remove(entry.id(), nowMillis);
     Upstream added = new Upstream(entry, peers, nowMillis);
-    Upstream earlier = removedLeaving.remove(entry.id());
+    Upstream earlier = removedStated.remove(entry.id());
     if (earlier != null && earlier.isSameIncarnation(entry)) {
       added.inherit(earlier);
     }
     upstreams.put(entry.id(), added);
+    byIncarnation.put(added.incarnationKey(), added);
     byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(added);
   }
 
@@ -121,9 +125,10 @@
   public void remove(UpstreamId id, long nowMillis) {
     Upstream removed = upstreams.remove(id);
     if (removed != null) {
+      byIncarnation.remove(removed.incarnationKey(), removed);
       byService.get(removed.entry().service()).remove(removed);
-      if (removed.load().availability().isLeaving()) {
-        removedLeaving.put(id, removed);
+      if (removed.load().availability().isStated(nowMillis)) {
+        removedStated.put(id, removed);
       }
       recordCrash(removed, nowMillis);
       removed.close();
@@ -205,6 +210,29 @@
     }
   }
 
+  /** Records a request limit that another VM states, with its time on this VM's clock. */
+  public void recordPeerLimit(StatedLimit stated, long nowMillis) {
+    Upstream upstream = byIncarnation.get(stated.upstream());
+    if (upstream != null) {
+      upstream.recordRequestLimit(
+          new RequestLimit(stated.perSecond(), stated.namedAtMillis()), nowMillis);
+    }
+  }
+
+  /** Returns the request limits to state to other VMs. */
+  public List<StatedLimit> requestLimits(long nowMillis) {
+    List<StatedLimit> limits = new ArrayList<>();
+    for (Upstream upstream : upstreams.values()) {
+      upstream
+          .load()
+          .availability()
+          .limitNews(nowMillis)
+          .map(it -> new StatedLimit(upstream.incarnationKey(), it.perSecond(), it.namedAtMillis()))
+          .ifPresent(limits::add);
+    }
+    return limits;
+  }
+
   /** Records what another VM states of suspects, with its times on this VM's clock. */
   public void recordPeerSuspicions(VmId peer, SuspicionStatement statement, long nowMillis) {
     for (CrashReport report : statement.reports()) {
--- a/gateway/src/test/java/org/ragworttide/gateway/PlainHeaderCodec.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/PlainHeaderCodec.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.ragworttide.gateway.relay.ForwardedMetadata;
 import org.ragworttide.gateway.relay.RequestMetadata;
@@ -45,7 +44,6 @@
         headers.contains("not-run"),
         headers.contains("content-encoding"),
         Optional.empty(),
-        OptionalDouble.empty(),
         UpstreamStatement.NONE);
   }
 }
--- a/gateway/src/test/java/org/ragworttide/gateway/peer/PeerStatementTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/peer/PeerStatementTest.java
@@ -6,10 +6,13 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.placement.PromptIndex;
+import org.ragworttide.coordination.placement.RequestLimit;
+import org.ragworttide.coordination.placement.StatedLimit;
 import org.ragworttide.coordination.quarantine.Clearance;
 import org.ragworttide.coordination.quarantine.CrashReport;
 import org.ragworttide.coordination.quarantine.Suspect;
@@ -33,7 +36,11 @@
               List.of(
                   new CrashReport(
                       Set.of(new Suspect(-5), new Suspect(8)), 6, -599_990 - 65_535, -599_990)),
-              List.of(new Clearance(new Suspect(7), -20))));
+              List.of(new Clearance(new Suspect(7), -20))),
+          List.of(
+              new StatedLimit(-6, OptionalDouble.of(2.718), -1_230),
+              new StatedLimit(7, OptionalDouble.of(RequestLimit.MAX_PER_SECOND), -10),
+              new StatedLimit(8, OptionalDouble.empty(), 0)));
 
   @Test
   public void decodedStatementEqualsTheEncodedOne() {
