Tell other VMs which upstreams are leaving

Each VM learned that an upstream is leaving only from an answer to itself, so each sent it one more request, and a VM that started later sent again. Statements now name leaving upstreams by the key of their incarnation, in three statements of each VM that learns of it (field 17, six bytes, eight at most); older builds skip the field.

--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -15,9 +15,11 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.id.ZoneId;
@@ -68,6 +70,9 @@
   /** Cached prompt parts in a statement, ten bytes each: half of its size in a small fleet. */
   private static final int MAX_HOLDINGS = 32;
 
+  /** Leaving upstreams in a statement, six bytes each. */
+  private static final int MAX_LEAVING = 8;
+
   /**
    * VMs that are assumed to share the limits of upstreams while none is known, as for cold
    * upstreams: this VM may be cut off from them.
@@ -99,6 +104,8 @@
   private final Map<Long, KnownPeer> peers = new HashMap<>();
   private final RepeatedItems<PromptIndex.Holding> holdings = new RepeatedItems<>(MAX_HOLDINGS);
   private final LimitRotation limits = new LimitRotation();
+  private final RepeatedItems<Integer> leaving = new RepeatedItems<>(MAX_LEAVING);
+  private final Set<Integer> statedLeaving = new HashSet<>();
   private Channel channel;
   private long sequence;
   private long discoveredAtMillis;
@@ -191,6 +198,7 @@
             now);
     statement.holdings().forEach(holding -> view.prompts().recordPeerHolding(holding, now));
     statement.limits().forEach(limit -> view.recordPeerLimit(limit.moveTime(now), now));
+    statement.leaving().forEach(upstream -> view.recordPeerLeaving(upstream, now));
     view.recordPeerSuspicions(statement.vm(), statement.suspicions().moveTimes(now), now);
     long ownNumber = FeedAddress.number(address);
     for (PeerStatement.KnownVm known : statement.known()) {
@@ -282,7 +290,15 @@
         inFlight,
         holdings.next(view.prompts().drainNewHoldings()),
         view.crashes().nextStatement(now).moveTimes(-now),
-        limits.next(view.requestLimits(now)).stream().map(it -> it.moveTime(-now)).toList());
+        limits.next(view.requestLimits(now)).stream().map(it -> it.moveTime(-now)).toList(),
+        leaving.next(newLeaving()));
+  }
+
+  /** Returns the upstreams that are leaving and that no statement has included yet. */
+  private List<Integer> newLeaving() {
+    Set<Integer> all = view.leavingIncarnations();
+    statedLeaving.retainAll(all);
+    return all.stream().filter(statedLeaving::add).toList();
   }
 
   private boolean isDiscoveryPeriod() {
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
@@ -31,8 +31,9 @@
  * upstream, 2 bytes age of the break in units of 10 ms, 2 bytes milliseconds from the sending of
  * the request to the break), 15 clearances (4 bytes suspect, 2 bytes age in units of 10 ms), 16
  * request limits (4 bytes upstream, 2 bytes age in units of 10 ms, 4 bytes thousandths of a request
- * per second, negative for none). Fields 9 and 10 are those of earlier builds; unknown fields, and
- * bytes that follow those of a limit, are ignored. Immutable, safe for use by any thread.
+ * per second, negative for none), 17 upstreams that are leaving (4 bytes). Fields 9 and 10 are
+ * those of earlier builds; unknown fields, and bytes that follow those of a limit, are ignored.
+ * Immutable, safe for use by any thread.
  *
  * @param vm the VM that sends the statement
  * @param incarnation distinguishes the VM's process runs
@@ -45,6 +46,7 @@
  * @param suspicions what it suspects of crashing upstreams; the times are relative to that of the
  *     statement, thus negative
  * @param limits request limits that upstreams have named; the times are relative as well
+ * @param leaving keys of incarnations of upstreams that are leaving
  */
 record PeerStatement(
     VmId vm,
@@ -56,7 +58,8 @@
     Map<Integer, Integer> inFlight,
     List<PromptIndex.Holding> holdings,
     SuspicionStatement suspicions,
-    List<StatedLimit> limits) {
+    List<StatedLimit> limits,
+    List<Integer> leaving) {
   private static final int VM = 1;
   private static final int INCARNATION = 2;
   private static final int SEQUENCE = 3;
@@ -70,6 +73,7 @@
   private static final int CRASH = 14;
   private static final int CLEARANCE = 15;
   private static final int LIMIT = 16;
+  private static final int LEAVING = 17;
   private static final int KNOWN_BYTES = Long.BYTES + Integer.BYTES + 1;
   private static final int MAX_SILENT_SECONDS = 255;
 
@@ -89,6 +93,7 @@
     inFlight = Map.copyOf(inFlight);
     holdings = List.copyOf(holdings);
     limits = List.copyOf(limits);
+    leaving = List.copyOf(leaving);
   }
 
   byte[] encode() {
@@ -120,6 +125,9 @@
       for (StatedLimit limit : limits) {
         out.writeByteArray(LIMIT, LimitCodec.bytes(limit));
       }
+      for (int upstream : leaving) {
+        out.writeFixed32(LEAVING, upstream);
+      }
       out.flush();
     } catch (IOException e) {
       throw new IllegalStateException("writing to a byte array failed", e);
@@ -142,6 +150,7 @@
     List<CrashReport> crashes = new ArrayList<>();
     List<Clearance> clearances = new ArrayList<>();
     List<StatedLimit> limits = new ArrayList<>();
+    List<Integer> leaving = new ArrayList<>();
     int part = 0;
     try {
       for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
@@ -159,6 +168,7 @@
           case CRASH -> crashes.add(SuspicionCodec.report(in.readByteArray()));
           case CLEARANCE -> clearances.add(SuspicionCodec.clearance(in.readByteArray()));
           case LIMIT -> limits.add(LimitCodec.limit(in.readByteArray()));
+          case LEAVING -> leaving.add(in.readFixed32());
           default -> in.skipField(tag);
         }
       }
@@ -173,7 +183,8 @@
               inFlight,
               holdings,
               new SuspicionStatement(crashes, clearances),
-              limits));
+              limits,
+              leaving));
     } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
@@ -78,11 +78,18 @@
     }
   }
 
+  /** Records that the upstream is leaving, as it has stated to this or another VM. */
+  public void recordLeaving(long nowMillis) {
+    if (load.availability().recordLeaving(nowMillis)) {
+      EventLog.log(LogEvent.UPSTREAM_LEAVING, entry.id());
+    }
+  }
+
   /** Records what the upstream has stated in a response to this VM. */
   void recordStatement(UpstreamStatement statement, long nowMillis) {
     StatedAvailability availability = load.availability();
-    if (statement.leaving() && availability.recordLeaving(nowMillis)) {
-      EventLog.log(LogEvent.UPSTREAM_LEAVING, entry.id());
+    if (statement.leaving()) {
+      recordLeaving(nowMillis);
     }
     if (statement.requestLimit().isPresent() || statement.endsLimit()) {
       recordRequestLimit(new RequestLimit(statement.requestLimit(), nowMillis), nowMillis);
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -219,6 +219,14 @@
     }
   }
 
+  /** Records that an upstream is leaving, as another VM states by the key of its incarnation. */
+  public void recordPeerLeaving(int incarnationKey, long nowMillis) {
+    Upstream upstream = byIncarnation.get(incarnationKey);
+    if (upstream != null) {
+      upstream.recordLeaving(nowMillis);
+    }
+  }
+
   /** Returns the request limits to state to other VMs. */
   public List<StatedLimit> requestLimits(long nowMillis) {
     List<StatedLimit> limits = new ArrayList<>();
@@ -233,6 +241,17 @@
     return limits;
   }
 
+  /** Returns the keys of the incarnations that are leaving. */
+  public Set<Integer> leavingIncarnations() {
+    Set<Integer> leaving = new HashSet<>();
+    for (Upstream upstream : upstreams.values()) {
+      if (upstream.load().availability().isLeaving()) {
+        leaving.add(upstream.incarnationKey());
+      }
+    }
+    return leaving;
+  }
+
   /** Records what another VM states of suspects, with its times on this VM's clock. */
   public void recordPeerSuspicions(VmId peer, SuspicionStatement statement, long nowMillis) {
     for (CrashReport report : statement.reports()) {
--- a/gateway/src/test/java/org/ragworttide/gateway/peer/PeerStatementTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/peer/PeerStatementTest.java
@@ -40,7 +40,8 @@
           List.of(
               new StatedLimit(-6, OptionalDouble.of(2.718), -1_230),
               new StatedLimit(7, OptionalDouble.of(RequestLimit.MAX_PER_SECOND), -10),
-              new StatedLimit(8, OptionalDouble.empty(), 0)));
+              new StatedLimit(8, OptionalDouble.empty(), 0)),
+          List.of(9, -10));
 
   @Test
   public void decodedStatementEqualsTheEncodedOne() {
