--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -1,5 +1,7 @@
 package org.ragworttide.gateway.peer;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -13,12 +15,15 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.id.ZoneId;
+import org.ragworttide.coordination.placement.LimitRotation;
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
@@ -65,6 +70,15 @@
   /** Cached prompt parts in a statement, ten bytes each: half of its size in a small fleet. */
   private static final int MAX_HOLDINGS = 32;
 
+  /** Leaving upstreams in a statement, six bytes each. */
+  private static final int MAX_LEAVING = 8;
+
+  /**
+   * VMs that are assumed to share the limits of upstreams while none is known, as for cold
+   * upstreams: this VM may be cut off from them.
+   */
+  private static final int ASSUMED_VMS = 10;
+
   /**
    * Number of VMs above which a broadcast reaches {@link #MAX_SAMPLED_PEERS} random ones: no budget
    * would let statements of all reach all within a second, and each costs processor time.
@@ -85,8 +99,13 @@
   private final Random random = new Random();
   private final ZoneId zone;
   private final ChangeFeed feed;
+  private final Counter bytesSent;
+  private final Counter bytesReceived;
   private final Map<Long, KnownPeer> peers = new HashMap<>();
   private final RepeatedItems<PromptIndex.Holding> holdings = new RepeatedItems<>(MAX_HOLDINGS);
+  private final LimitRotation limits = new LimitRotation();
+  private final RepeatedItems<Integer> leaving = new RepeatedItems<>(MAX_LEAVING);
+  private final Set<Integer> statedLeaving = new HashSet<>();
   private Channel channel;
   private long sequence;
   private long discoveredAtMillis;
@@ -105,9 +124,16 @@
    * @param view the VM's view of the fleet
    * @param feed the changes of the store, which receives the known VMs
    * @param time the clock and timers of the event loop
+   * @param metrics receives the numbers of bytes
    */
   public PeerExchange(
-      GatewaySettings settings, FleetView view, ChangeFeed feed, TimerService time) {
+      GatewaySettings settings,
+      FleetView view,
+      ChangeFeed feed,
+      TimerService time,
+      MetricRegistry metrics) {
+    this.bytesSent = metrics.counter("gateway_peer_bytes_sent");
+    this.bytesReceived = metrics.counter("gateway_peer_bytes_received");
     this.vm = settings.vm();
     this.zone = settings.zone();
     this.address = settings.peers();
@@ -116,6 +142,9 @@
     this.feed = feed;
     this.time = time;
     this.discoveredAtMillis = time.nowMillis();
+    if (!seeds.stream().allMatch(address::equals)) {
+      view.peers().members().assume(ASSUMED_VMS);
+    }
   }
 
   /** Starts listening and broadcasting. */
@@ -143,6 +172,7 @@
   }
 
   private void receive(byte[] bytes, InetSocketAddress sender) {
+    bytesReceived.inc(bytes.length);
     PeerStatement.decode(bytes)
         .ifPresentOrElse(
             statement -> receive(statement, sender),
@@ -167,6 +197,8 @@
             statement.inFlight(),
             now);
     statement.holdings().forEach(holding -> view.prompts().recordPeerHolding(holding, now));
+    statement.limits().forEach(limit -> view.recordPeerLimit(limit.moveTime(now), now));
+    statement.leaving().forEach(upstream -> view.recordPeerLeaving(upstream, now));
     view.recordPeerSuspicions(statement.vm(), statement.suspicions().moveTimes(now), now);
     long ownNumber = FeedAddress.number(address);
     for (PeerStatement.KnownVm known : statement.known()) {
@@ -213,6 +245,7 @@
     if (membersChanged) {
       membersChanged = false;
       feed.setMembers(peers.values().stream().map(KnownPeer::member).toList());
+      view.peers().members().set(FeedAddress.number(address), peers.keySet(), now);
     }
     byte[] statement = nextStatement().encode();
     int maxRecipients =
@@ -231,6 +264,7 @@
   }
 
   private void send(byte[] statement, InetSocketAddress to) {
+    bytesSent.inc(statement.length);
     channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(statement), to));
   }
 
@@ -255,7 +289,16 @@
         discovers ? sampleKnownPeers() : List.of(),
         inFlight,
         holdings.next(view.prompts().drainNewHoldings()),
-        view.crashes().nextStatement(now).moveTimes(-now));
+        view.crashes().nextStatement(now).moveTimes(-now),
+        limits.next(view.requestLimits(now)).stream().map(it -> it.moveTime(-now)).toList(),
+        leaving.next(newLeaving()));
+  }
+
+  /** Returns the upstreams that are leaving and that no statement has included yet. */
+  private List<Integer> newLeaving() {
+    Set<Integer> all = view.leavingIncarnations();
+    statedLeaving.retainAll(all);
+    return all.stream().filter(statedLeaving::add).toList();
   }
 
   private boolean isDiscoveryPeriod() {
