Write the last log lines before a gateway exits

The line that says that a gateway has stopped (RWT1004) was missing from its log when the machine was busy: the process exits before the thread that writes the log has taken it from its queue.

--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogSetup.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogSetup.java
@@ -50,6 +50,13 @@
     root.addHandler(QueueingHandler.toStandardOutput(new JsonFormat(), QUEUED_LINES));
   }
 
+  /** Waits for a limited time until the lines that have been logged are written. */
+  public static void flush() {
+    for (Handler handler : Logger.getLogger("").getHandlers()) {
+      handler.flush();
+    }
+  }
+
   private static Level level(DaemonSettings.LogLevel level) {
     return switch (level) {
       case ERROR -> Level.SEVERE;
