Log restorations of the store and changes that are ignored

The logs could not tell whether a change after a restoration was never read or was read and discarded. RWT7114 says when the store's era has changed, RWT7205 when a listing or changes are discarded. No decision changes.

--- a/coordination/src/main/java/org/ragworttide/coordination/feed/ChangeLog.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/feed/ChangeLog.java
@@ -42,6 +42,13 @@
     return revision;
   }
 
+  /** Returns whether the batch can be applied: no change before it is missing. */
+  public boolean follows(ChangeBatch batch) {
+    return batch.listing()
+        ? batch.revision() >= revision
+        : revision > 0 && batch.afterRevision() <= revision;
+  }
+
   /**
    * Applies a batch.
    *
@@ -49,8 +56,7 @@
    *     does not follow the known revision
    */
   public List<Change> apply(ChangeBatch batch, long nowMillis) {
-    boolean follows = batch.listing() || revision > 0 && batch.afterRevision() <= revision;
-    if (!follows || batch.listing() && batch.revision() < revision) {
+    if (!follows(batch)) {
       return List.of();
     }
     List<Change> applied = new ArrayList<>();
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -106,6 +106,9 @@
       7112, Level.INFO, "response to request %s of upstream %s skipped, request %s is awaited"),
   /** An upstream sent bytes that belong to no request. */
   CONNECTION_DISCARDED(7113, Level.INFO, "connection to %s closed: %s"),
+  /** The store has returned from an older copy of itself, in a new era. */
+  STORE_RESTORED(
+      7114, Level.WARN, "store restored: era %s at revision %s, before: era %s at revision %s"),
   /** The first message of another VM has arrived. */
   PEER_HEARD(7201, Level.INFO, "first message of VM %s received from %s"),
   /** No message of another VM has arrived for 30 s. */
@@ -114,6 +117,9 @@
   FEED_SOURCE(7203, Level.INFO, "changes received from %s after revision %s"),
   /** A change of the store could not be applied. */
   CHANGE_FAILED(7204, Level.ERROR, "change of %s at revision %s not applied: %s"),
+  /** A listing or changes of the store do not fit what the VM knows. */
+  CHANGES_IGNORED(
+      7205, Level.INFO, "%s from revision %s to %s ignored, revision %s is known already"),
   /** An upstream crashed while it ran requests of this VM. */
   UPSTREAM_CRASHED(7301, Level.INFO, "upstream %s crashed, counted against %s"),
   /** Another VM has reported that an upstream crashed while it ran the VM's requests. */
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
@@ -111,6 +111,14 @@
   }
 
   private void apply(ChangeBatch batch) {
+    if (!log.follows(batch)) {
+      EventLog.log(
+          LogEvent.CHANGES_IGNORED,
+          batch.listing() ? "listing" : "changes",
+          batch.afterRevision(),
+          batch.revision(),
+          log.revision());
+    }
     List<Change> changes = log.apply(batch, time.nowMillis());
     changes.forEach(this::deliver);
     controller.recordKnownRevision(log.revision());
