Order the store's changes by era, and keep what a restored store has lost

Callers: after the store had returned from an older copy, a configuration that had been confirmed was never in force; routes that it added got 404 and requests were handled by an older version. Gateways that started in between served the older configuration.

Cause: a revision was taken for a point in time. After a return, revisions are given out again, and five places compared revisions of different histories: the reader's cursor, the order of an item's writes, the configuration in force, the changes that VMs request from each other, and the latest revision that a VM has heard of.

Change: a position is an era and a revision (StorePosition), in the log, between VMs and in the decision who is behind. A listing of a later era replaces the log. What is known to be newer than the copy, by the writer's own number of the item, stays in force until its writer has written it again (RetainedChanges); VMs pass it on to those that follow them, and a reader that starts asks three others for it. Configurations are ordered by their versions.

--- a/coordination/src/main/java/org/ragworttide/coordination/feed/Change.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/feed/Change.java
@@ -1,5 +1,6 @@
 package org.ragworttide.coordination.feed;
 
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -15,6 +16,7 @@
  *     is not final, because the item may have expired during the outage; 0 if it is final
  */
 public record Change(String key, long revision, Optional<byte[]> value, long graceMillis) {
+  private static final byte[] NO_BYTES = {};
 
   /** Checks the ranges. */
   public Change {
@@ -35,4 +37,10 @@
   public static Change deletion(String key, long revision, long graceMillis) {
     return new Change(key, revision, Optional.empty(), graceMillis);
   }
+
+  /** Returns whether both are deletions, or writes of the same bytes. */
+  static boolean hasSameValue(Change one, Change other) {
+    return one.value().isPresent() == other.value().isPresent()
+        && Arrays.equals(one.value().orElse(NO_BYTES), other.value().orElse(NO_BYTES));
+  }
 }
--- a/coordination/src/main/java/org/ragworttide/coordination/feed/FeedController.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/feed/FeedController.java
@@ -16,8 +16,10 @@
  * <p>Answers these patterns: a fleet of hundreds of VMs of which each would watch the store; a VM
  * that passes changes on and dies, freezes, is cut off from the store or is refused by it while
  * others are served; a VM that the store refuses and that knows nothing new; a store that is down
- * for all. A VM that hears nothing for {@link #SILENCE_MILLIS}, or whose peers know a later
- * revision, reads the store itself.
+ * for all; a reader that starts beside a store that has returned from a copy. A VM that hears
+ * nothing for {@link #SILENCE_MILLIS}, or whose peers know a later position, reads the store
+ * itself; a reader that has just started receives once from another VM what that one keeps of
+ * earlier eras.
  *
  * <p>Invariants: a VM that is followed by this one does not receive its changes through this one; a
  * VM either watches the store or has received a message of the followed VM within {@link
@@ -78,6 +80,15 @@
   /** Milliseconds between the VMs that a reader asks one after another while the store fails. */
   static final long SUBSTITUTE_MILLIS = 500;
 
+  /**
+   * Milliseconds after a start in which a reader asks other VMs for what they keep of earlier eras;
+   * time for several attempts with each.
+   */
+  static final long CONSULT_MILLIS = 3_000;
+
+  /** VMs that a reader asks after its start: some may have started with it and know nothing. */
+  static final int CONSULTED_VMS = 3;
+
   /** Most VMs that a change may pass; a longer path is not a tree of any planned fleet. */
   static final int MAX_PATH = 12;
 
@@ -103,9 +114,11 @@
   private long unsureSinceMillis = NEVER;
   private long substitutedAtMillis = NEVER;
   private long behindSinceMillis = NEVER;
-  private long missingRevision;
-  private long knownRevision;
-  private long latestRevision;
+  private StorePosition missing = StorePosition.NONE;
+  private StorePosition known = StorePosition.NONE;
+  private StorePosition latest = StorePosition.NONE;
+  private long startedAtMillis = NEVER;
+  private final Set<Long> consulted = new HashSet<>();
   private boolean watching;
   private boolean announcedAvailable;
 
@@ -129,6 +142,7 @@
   /** Starts to take decisions, once the VM is able to reach others. */
   public void start() {
     lostAtMillis = time.nowMillis();
+    startedAtMillis = lostAtMillis;
     time.every(TICK_MILLIS, this::update);
   }
 
@@ -163,11 +177,19 @@
     if (followed.isEmpty() || followed.get().address() != from.address()) {
       return;
     }
+    long now = time.nowMillis();
+    if (isConsulting(now) && isReader(now)) {
+      consulted.add(from.address());
+      if (storeFailedAtMillis == NEVER) {
+        drop();
+        update();
+        return;
+      }
+    }
     if (status.path().contains(self.address()) || status.path().size() > MAX_PATH) {
       giveUp();
       return;
     }
-    long now = time.nowMillis();
     followedPath = status.path();
     followedAvailable = status.available();
     messageAtMillis = now;
@@ -188,24 +210,28 @@
     }
   }
 
-  /** Records the revision up to which this VM knows all changes. */
-  public void recordKnownRevision(long revision) {
-    knownRevision = Math.max(knownRevision, revision);
-    if (knownRevision >= missingRevision) {
-      missingRevision = latestRevision;
-      behindSinceMillis = knownRevision >= latestRevision ? NEVER : time.nowMillis();
+  /** Records the position up to which this VM knows all changes. */
+  public void recordKnownPosition(StorePosition position) {
+    known = later(known, position);
+    if (!missing.isAfter(known)) {
+      missing = latest;
+      behindSinceMillis = latest.isAfter(known) ? time.nowMillis() : NEVER;
     }
   }
 
-  /** Records the revision that another VM knows. */
-  public void recordPeerRevision(long revision) {
-    latestRevision = Math.max(latestRevision, revision);
-    if (latestRevision > knownRevision && behindSinceMillis == NEVER) {
-      missingRevision = latestRevision;
+  /** Records the position that another VM knows. */
+  public void recordPeerPosition(StorePosition position) {
+    latest = later(latest, position);
+    if (latest.isAfter(known) && behindSinceMillis == NEVER) {
+      missing = latest;
       behindSinceMillis = time.nowMillis();
     }
   }
 
+  private static StorePosition later(StorePosition one, StorePosition other) {
+    return other.isAfter(one) ? other : one;
+  }
+
   /** Returns the status to send to the VMs that follow this one. */
   public FeedStatus status() {
     long now = time.nowMillis();
@@ -265,19 +291,25 @@
     }
   }
 
-  /** Lets a reader follow another VM while the store fails, and only then. */
+  /**
+   * Lets a reader follow another VM while the store fails, and some VMs shortly after its start.
+   */
   private void chooseSubstitute(Set<Long> excluded, long now) {
+    boolean consults = isConsulting(now);
     if (followed.isPresent()) {
-      if (storeFailedAtMillis == NEVER) {
+      if (storeFailedAtMillis == NEVER && !consults) {
         drop();
       }
       return;
     }
     boolean hasStoreFailed =
         storeFailedAtMillis != NEVER && now - storeFailedAtMillis >= STORE_FAILED_MILLIS;
-    if (hasStoreFailed && now - substitutedAtMillis >= SUBSTITUTE_MILLIS) {
+    if ((hasStoreFailed || consults) && now - substitutedAtMillis >= SUBSTITUTE_MILLIS) {
       substitutedAtMillis = now;
-      tree.alternatives(excluded).stream().findFirst().ifPresent(vm -> follow(vm, now));
+      tree.alternatives(excluded).stream()
+          .filter(vm -> hasStoreFailed || !consulted.contains(vm.address()))
+          .findFirst()
+          .ifPresent(vm -> follow(vm, now));
     }
   }
 
@@ -344,6 +376,10 @@
             && now - checkedAtMillis >= CHECK_MILLIS;
   }
 
+  private boolean isConsulting(long now) {
+    return consulted.size() < CONSULTED_VMS && now - startedAtMillis < CONSULT_MILLIS;
+  }
+
   private boolean isReader(long now) {
     return tree.parent(suspected(now)).isEmpty();
   }
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -108,7 +108,7 @@
   CONNECTION_DISCARDED(7113, Level.INFO, "connection to %s closed: %s"),
   /** The store has returned from an older copy of itself, in a new era. */
   STORE_RESTORED(
-      7114, Level.WARN, "store restored: era %s at revision %s, before: era %s at revision %s"),
+      7114, Level.WARN, "store restored: era %s at revision %s, known before: revision %s"),
   /** The first message of another VM has arrived. */
   PEER_HEARD(7201, Level.INFO, "first message of VM %s received from %s"),
   /** No message of another VM has arrived for 30 s. */
@@ -120,6 +120,8 @@
   /** A listing or changes of the store do not fit what the VM knows. */
   CHANGES_IGNORED(
       7205, Level.INFO, "%s from revision %s to %s ignored, revision %s is known already"),
+  /** Changes are kept that the store lost when it returned from a copy. */
+  CHANGES_RETAINED(7206, Level.INFO, "%s items kept that the restored store has not confirmed: %s"),
   /** An upstream crashed while it ran requests of this VM. */
   UPSTREAM_CRASHED(7301, Level.INFO, "upstream %s crashed, counted against %s"),
   /** Another VM has reported that an upstream crashed while it ran the VM's requests. */
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import org.ragworttide.coordination.admission.StopAdmission;
 import org.ragworttide.coordination.feed.FeedMember;
+import org.ragworttide.coordination.feed.ItemRules;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -77,8 +78,16 @@
   private final RelayContext context;
   private final ChangeFeed feed;
 
-  /** Creates a gateway that is not listening yet. */
-  public Gateway(GatewaySettings settings, HeaderCodec headerCodec, LoopResources loops) {
+  /**
+   * Creates a gateway that is not listening yet.
+   *
+   * @param settings this VM, its addresses and limits
+   * @param headerCodec translates the metadata of requests and responses
+   * @param rules by which the store's items are compared after its return from a copy
+   * @param loops provides the event loop
+   */
+  public Gateway(
+      GatewaySettings settings, HeaderCodec headerCodec, ItemRules rules, LoopResources loops) {
     this.settings = settings;
     this.loops = loops;
     this.loop = loops.onClient(true).next();
@@ -86,7 +95,7 @@
     FeedMember self =
         new FeedMember(
             FeedAddress.number(settings.peers()), FeedMember.zoneKey(settings.zone().value()));
-    this.feed = new ChangeFeed(self, settings.seeds(), time);
+    this.feed = new ChangeFeed(self, settings.seeds(), rules, time);
     this.stopAdmission = new StopAdmission(settings.graceMillis());
     this.connections = new CallerConnections(stopAdmission);
     Telemetry telemetry = new Telemetry(new MetricRegistry(), time);
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
@@ -15,6 +15,9 @@
 import org.ragworttide.coordination.feed.FeedController;
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.feed.FeedPort;
+import org.ragworttide.coordination.feed.ItemRules;
+import org.ragworttide.coordination.feed.RetainedChange;
+import org.ragworttide.coordination.feed.StorePosition;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -23,12 +26,15 @@
  * The changes of the store that this VM knows: received from another VM or read from the store, and
  * passed on to other VMs.
  *
- * <p>Invariants: each change reaches the listener once, and never after a newer one of its key;
- * what other VMs receive has reached the listener before. Confined to the event loop.
+ * <p>Invariants: each change reaches the listener once, and never after a newer one of its key,
+ * apart from a change that the store has lost and not confirmed in time; what other VMs receive has
+ * reached the listener before. Confined to the event loop.
  */
 public final class ChangeFeed {
+  private static final int MAX_LOGGED_KEYS = 20;
+
   private final TimerService time;
-  private final ChangeLog log = new ChangeLog();
+  private final ChangeLog log;
   private final FeedController controller;
   private final FeedServer server;
   private FeedClient client;
@@ -41,10 +47,13 @@
    *
    * @param self this VM
    * @param seeds addresses of VMs that may follow this one before they are known as members
+   * @param rules by which changes are compared after the store has returned from a copy
    * @param time the clock and timers of the event loop
    */
-  public ChangeFeed(FeedMember self, Collection<InetSocketAddress> seeds, TimerService time) {
+  public ChangeFeed(
+      FeedMember self, Collection<InetSocketAddress> seeds, ItemRules rules, TimerService time) {
     this.time = time;
+    this.log = new ChangeLog(rules);
     this.controller = new FeedController(self, new Port(), time);
     this.server =
         new FeedServer(
@@ -76,13 +85,13 @@
         () -> {
           client = new FeedClient(loop, clientType, new ClientListener());
           controller.start();
-          time.every(FeedController.HEARTBEAT_MILLIS, this::sendToFollowers);
+          time.every(FeedController.HEARTBEAT_MILLIS, this::beat);
         });
   }
 
-  /** Returns the revision up to which this VM knows all changes of the store. */
-  public long revision() {
-    return log.revision();
+  /** Returns the position up to which this VM knows all changes of the store. */
+  public StorePosition position() {
+    return log.position();
   }
 
   /** Sets the known VMs of the fleet. */
@@ -94,15 +103,21 @@
     controller.setMembers(members);
   }
 
-  /** Records the revision that another VM knows. */
-  public void recordPeerRevision(long revision) {
-    controller.recordPeerRevision(revision);
+  /** Records the position that another VM knows. */
+  public void recordPeerPosition(StorePosition position) {
+    controller.recordPeerPosition(position);
   }
 
-  /** Records an answer of the store, which may contain no changes. */
-  public void recordStoreAnswer(ChangeBatch batch) {
+  /**
+   * Records an answer of the store, which may contain no changes.
+   *
+   * @return whether the answer follows what this VM knows; if not, it is ignored
+   */
+  public boolean recordStoreAnswer(ChangeBatch batch) {
+    boolean follows = log.follows(batch);
     apply(batch);
     controller.recordStoreAnswer();
+    return follows;
   }
 
   /** Records that the store did not answer this VM, or refused to. */
@@ -111,18 +126,44 @@
   }
 
   private void apply(ChangeBatch batch) {
-    if (!log.follows(batch)) {
+    boolean isEmpty = !batch.listing() && batch.changes().isEmpty();
+    if (!log.follows(batch) && !isEmpty) {
       EventLog.log(
           LogEvent.CHANGES_IGNORED,
           batch.listing() ? "listing" : "changes",
           batch.afterRevision(),
-          batch.revision(),
-          log.revision());
+          batch.position(),
+          log.position());
     }
+    long additions = log.retainedAdditions();
     List<Change> changes = log.apply(batch, time.nowMillis());
+    controller.recordKnownPosition(log.position());
+    deliver(changes, log.retainedAdditions() > additions);
+  }
+
+  private void retain(List<RetainedChange> received) {
+    long additions = log.retainedAdditions();
+    List<Change> changes = log.retain(received, time.nowMillis());
+    deliver(changes, log.retainedAdditions() > additions);
+  }
+
+  private void beat() {
+    deliver(log.expireRetained(time.nowMillis()), false);
+    sendToFollowers();
+  }
+
+  /** Passes changes on to the listener and the other VMs. */
+  private void deliver(List<Change> changes, boolean hasRetainedMore) {
     changes.forEach(this::deliver);
-    controller.recordKnownRevision(log.revision());
-    if (!changes.isEmpty()) {
+    if (hasRetainedMore) {
+      List<String> keys =
+          log.retained(time.nowMillis()).stream().map(it -> it.change().key()).toList();
+      EventLog.log(
+          LogEvent.CHANGES_RETAINED,
+          keys.size(),
+          keys.subList(0, Math.min(MAX_LOGGED_KEYS, keys.size())));
+    }
+    if (!changes.isEmpty() || hasRetainedMore) {
       sendToFollowers();
     }
   }
@@ -143,14 +184,14 @@
   }
 
   private void logSource(String source) {
-    EventLog.log(LogEvent.FEED_SOURCE, source, log.revision());
+    EventLog.log(LogEvent.FEED_SOURCE, source, log.position());
   }
 
   /** Carries out the decisions of the controller. Confined to the event loop. */
   private final class Port implements FeedPort {
     @Override
     public void follow(FeedMember parent) {
-      client.connect(parent, log.revision());
+      client.connect(parent, log.position());
     }
 
     @Override
@@ -188,6 +229,7 @@
         listener.recordStoreContact();
       }
       apply(message.batch());
+      retain(message.retained());
       controller.recordMessage(from, message.status());
     }
 
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/FeedClient.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/FeedClient.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import org.ragworttide.coordination.feed.FeedMember;
+import org.ragworttide.coordination.feed.StorePosition;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
 
@@ -51,8 +52,8 @@
     this.listener = listener;
   }
 
-  /** Connects to the VM and requests the changes after the revision. */
-  void connect(FeedMember parent, long afterRevision) {
+  /** Connects to the VM and requests the changes after the position. */
+  void connect(FeedMember parent, StorePosition after) {
     close();
     ChannelFuture connecting =
         new Bootstrap()
@@ -79,7 +80,12 @@
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
-            opening.writeAndFlush(opening.alloc().buffer(Long.BYTES).writeLong(afterRevision));
+            opening.writeAndFlush(
+                opening
+                    .alloc()
+                    .buffer(FeedServer.REQUEST_BYTES)
+                    .writeLong(after.revision())
+                    .writeLong(after.era()));
           } else if (channel == opening) {
             channel = null;
             listener.disconnected(parent);
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/FeedServer.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/FeedServer.java
@@ -17,10 +17,13 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
 import org.ragworttide.coordination.feed.ChangeLog;
 import org.ragworttide.coordination.feed.FeedStatus;
+import org.ragworttide.coordination.feed.RetainedChange;
+import org.ragworttide.coordination.feed.StorePosition;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -32,7 +35,12 @@
  * receives nothing more until it has read them. Confined to the event loop.
  */
 final class FeedServer {
-  /** Size of a request: one number. */
+  /** Size of a request: the revision and the era that the follower knows. */
+  static final int REQUEST_BYTES = 2 * Long.BYTES;
+
+  /** Size of a request of earlier builds, which has no era. */
+  private static final int REQUEST_BYTES_WITHOUT_ERA = Long.BYTES;
+
   private static final int MAX_REQUEST_BYTES = 64;
 
   private static final int LENGTH_BYTES = 4;
@@ -49,9 +57,17 @@
   private final ChangeLog log;
   private final TimerService time;
   private final Predicate<InetAddress> isMember;
-  private final Map<Channel, Long> sentRevisions = new HashMap<>();
+  private final Map<Channel, Sent> sentTo = new HashMap<>();
   private Runnable subscribed = () -> {};
 
+  /** What a follower knows: all changes up to a position and so many retained ones. */
+  private record Sent(StorePosition position, long retainedAdditions) {
+    private Sent next(ChangeLog log) {
+      StorePosition later = log.position().isAfter(position) ? log.position() : position;
+      return new Sent(later, log.retainedAdditions());
+    }
+  }
+
   FeedServer(ChangeLog log, TimerService time, Predicate<InetAddress> isMember) {
     this.log = log;
     this.time = time;
@@ -91,26 +107,29 @@
 
   /** Sends each follower the changes that it lacks and the status. */
   void send(FeedStatus status) {
-    Map<Long, ByteBuf> encoded = new HashMap<>();
-    for (Map.Entry<Channel, Long> follower : sentRevisions.entrySet()) {
+    Map<Sent, ByteBuf> encoded = new HashMap<>();
+    for (Map.Entry<Channel, Sent> follower : sentTo.entrySet()) {
       Channel channel = follower.getKey();
       if (channel.isActive() && waitingBytes(channel) <= MAX_WAITING_BYTES) {
         ByteBuf message =
             encoded.computeIfAbsent(
-                follower.getValue(),
-                after ->
-                    Unpooled.wrappedBuffer(
-                        new FeedMessage(log.changesAfter(after, time.nowMillis()), status)
-                            .encode()));
+                follower.getValue(), sent -> Unpooled.wrappedBuffer(message(sent, status)));
         channel.writeAndFlush(message.retainedDuplicate());
-        follower.setValue(Math.max(follower.getValue(), log.revision()));
+        follower.setValue(follower.getValue().next(log));
       }
     }
     encoded.values().forEach(ByteBuf::release);
   }
 
+  private byte[] message(Sent sent, FeedStatus status) {
+    long now = time.nowMillis();
+    boolean hasAllRetained = sent.retainedAdditions() == log.retainedAdditions();
+    List<RetainedChange> retained = hasAllRetained ? List.of() : log.retained(now);
+    return new FeedMessage(log.changesAfter(sent.position(), now), retained, status).encode();
+  }
+
   int followers() {
-    return sentRevisions.size();
+    return sentTo.size();
   }
 
   private static long waitingBytes(Channel channel) {
@@ -125,7 +144,7 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
       InetSocketAddress remote = (InetSocketAddress) ctx.channel().remoteAddress();
-      if (!isMember.test(remote.getAddress()) || sentRevisions.size() >= MAX_FOLLOWERS) {
+      if (!isMember.test(remote.getAddress()) || sentTo.size() >= MAX_FOLLOWERS) {
         EventLog.log(LogEvent.PEER_FRAME_REFUSED, remote, "not a known VM, or too many follow");
         ctx.close();
       }
@@ -133,19 +152,22 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf request) {
-      if (request.readableBytes() != Long.BYTES) {
+      int size = request.readableBytes();
+      if (size != REQUEST_BYTES && size != REQUEST_BYTES_WITHOUT_ERA) {
         EventLog.log(
             LogEvent.PEER_FRAME_REFUSED, ctx.channel().remoteAddress(), "malformed request");
         ctx.close();
         return;
       }
-      sentRevisions.put(ctx.channel(), Math.max(0, request.readLong()));
+      long revision = Math.max(0, request.readLong());
+      long era = size == REQUEST_BYTES ? Math.max(0, request.readLong()) : 0;
+      sentTo.put(ctx.channel(), new Sent(new StorePosition(era, revision), 0));
       subscribed.run();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      sentRevisions.remove(ctx.channel());
+      sentTo.remove(ctx.channel());
     }
 
     @Override
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -188,7 +188,7 @@
     if (isNews(member, now)) {
       EventLog.log(LogEvent.PEER_HEARD, statement.vm(), sender);
     }
-    feed.recordPeerRevision(statement.revision());
+    feed.recordPeerPosition(statement.position());
     view.peers()
         .recordStatement(
             statement.vm(),
@@ -285,7 +285,7 @@
         incarnation,
         sequence,
         FeedMember.zoneKey(zone.value()),
-        feed.revision(),
+        feed.position(),
         discovers ? sampleKnownPeers() : List.of(),
         inFlight,
         holdings.next(view.prompts().drainNewHoldings()),
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.ragworttide.coordination.feed.FeedMember;
+import org.ragworttide.coordination.feed.StorePosition;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.placement.StatedLimit;
@@ -22,7 +23,7 @@
 /**
  * Statement that a VM sends to its peers: its requests in flight at each upstream, the VMs that it
  * knows, prompts that engines have cached, what it suspects of crashing upstreams, what upstreams
- * have stated to all VMs and the revision of the store that it knows.
+ * have stated to all VMs and the position of the store that it knows.
  *
  * <p>The encoding is that of protobuf, with these fields: 1 name, 2 incarnation, 3 sequence, 5
  * upstream keys, 6 requests, in the keys' order, 7 prompt parts, 8 the engines that have cached
@@ -31,15 +32,15 @@
  * upstream, 2 bytes age of the break in units of 10 ms, 2 bytes milliseconds from the sending of
  * the request to the break), 15 clearances (4 bytes suspect, 2 bytes age in units of 10 ms), 16
  * request limits (4 bytes upstream, 2 bytes age in units of 10 ms, 4 bytes thousandths of a request
- * per second, negative for none), 17 upstreams that are leaving (4 bytes). Fields 9 and 10 are
- * those of earlier builds; unknown fields, and bytes that follow those of a limit, are ignored.
- * Immutable, safe for use by any thread.
+ * per second, negative for none), 17 upstreams that are leaving (4 bytes), 18 era of the revision.
+ * Fields 9 and 10 are those of earlier builds; unknown fields, and bytes that follow those of a
+ * limit, are ignored. Immutable, safe for use by any thread.
  *
  * @param vm the VM that sends the statement
  * @param incarnation distinguishes the VM's process runs
  * @param sequence number of the statement, which grows within an incarnation
  * @param zoneKey the key of its availability zone
- * @param revision the revision up to which it knows all changes of the store
+ * @param position the position up to which it knows all changes of the store
  * @param known some of the VMs that it knows
  * @param inFlight numbers of its requests in flight by upstream key
  * @param holdings prompt parts that engines have recently cached for its requests
@@ -53,7 +54,7 @@
     long incarnation,
     long sequence,
     int zoneKey,
-    long revision,
+    StorePosition position,
     List<KnownVm> known,
     Map<Integer, Integer> inFlight,
     List<PromptIndex.Holding> holdings,
@@ -74,6 +75,7 @@
   private static final int CLEARANCE = 15;
   private static final int LIMIT = 16;
   private static final int LEAVING = 17;
+  private static final int ERA = 18;
   private static final int KNOWN_BYTES = Long.BYTES + Integer.BYTES + 1;
   private static final int MAX_SILENT_SECONDS = 255;
 
@@ -104,7 +106,8 @@
       out.writeUInt64(INCARNATION, incarnation);
       out.writeUInt64(SEQUENCE, sequence);
       out.writeFixed32(ZONE, zoneKey);
-      out.writeUInt64(REVISION, revision);
+      out.writeUInt64(REVISION, position.revision());
+      out.writeUInt64(ERA, position.era());
       for (KnownVm vm : known) {
         out.writeByteArray(KNOWN, bytes(vm));
       }
@@ -142,6 +145,7 @@
     long incarnation = 0;
     long sequence = 0;
     int zoneKey = 0;
+    long era = 0;
     long revision = 0;
     List<KnownVm> known = new ArrayList<>();
     Map<Integer, Integer> inFlight = new HashMap<>();
@@ -160,6 +164,7 @@
           case SEQUENCE -> sequence = in.readUInt64();
           case ZONE -> zoneKey = in.readFixed32();
           case REVISION -> revision = in.readUInt64();
+          case ERA -> era = in.readUInt64();
           case KNOWN -> known.add(knownVm(in.readByteArray()));
           case KEY -> key = in.readFixed32();
           case COUNT -> inFlight.put(key, in.readUInt32());
@@ -178,7 +183,7 @@
               incarnation,
               sequence,
               zoneKey,
-              revision,
+              new StorePosition(era, revision),
               known,
               inFlight,
               holdings,
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -40,8 +40,8 @@
  * the loads that other VMs report, the prompts that engines have cached and what is suspected of
  * crashing upstreams.
  *
- * <p>Invariant: the current configuration is never replaced by one of an older revision. Confined
- * to the event loop, except for {@link #awaitConfiguration}.
+ * <p>Invariant: the current configuration is never replaced by one of a lower version. Confined to
+ * the event loop, except for {@link #awaitConfiguration}.
  */
 public final class FleetView {
   /** Removed upstreams that are kept: as many as a fleet replaces within minutes. */
@@ -67,22 +67,20 @@
   private final Set<ZoneId> evacuatedZones = new HashSet<>();
   private final CountDownLatch configured = new CountDownLatch(1);
   private Optional<Configuration> configuration = Optional.empty();
-  private long configurationRevision;
   private RouteTable routes = new RouteTable(List.of());
   private KeyTable keys = new KeyTable(List.of());
   private Map<ServiceName, ServicePolicy> policies = Map.of();
 
   /**
-   * Applies a configuration.
+   * Applies a configuration unless its version is lower than that of the current one. The store's
+   * revisions do not count: it gives them out again after it has returned from a copy.
    *
-   * @param revision the store's revision of the configuration
-   * @return whether the configuration is newer than the current one and has been applied
+   * @return whether the configuration has been applied
    */
-  public boolean apply(Configuration next, long revision) {
-    if (revision <= configurationRevision) {
+  public boolean apply(Configuration next) {
+    if (configuration.isPresent() && next.version() < configuration.get().version()) {
       return false;
     }
-    configurationRevision = revision;
     configuration = Optional.of(next);
     routes = new RouteTable(next.routes());
     keys = new KeyTable(next.organisations());
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
@@ -42,10 +42,19 @@
     return view.configuration().isPresent();
   }
 
-  /** Applies the configuration unless it is older than the current one. */
+  /**
+   * Applies the configuration unless its version is lower than that of the current one.
+   *
+   * @param revision the store's revision, for the log
+   */
   public void applyConfiguration(Configuration configuration, long revision) {
-    if (view.apply(configuration, revision)) {
+    if (view.apply(configuration)) {
       EventLog.log(LogEvent.CONFIGURATION_APPLIED, configuration.version(), "revision " + revision);
+    } else {
+      EventLog.log(
+          LogEvent.CONFIGURATION_REFUSED,
+          configuration.version(),
+          "revision " + revision + " has a lower version than the one in force");
     }
   }
 
--- a/gateway/src/test/java/org/ragworttide/gateway/view/FleetViewUpdaterTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/view/FleetViewUpdaterTest.java
@@ -105,6 +105,18 @@
     assertEquals(view.configuration().orElseThrow().version(), 7);
   }
 
+  /** Guards against an older configuration that a restored store gives a higher revision. */
+  @Test
+  public void versionsNotRevisionsOrderConfigurations() {
+    FleetView view = new FleetView();
+    FleetViewUpdater updater = new FleetViewUpdater(view, time);
+    updater.applyConfiguration(configuration(7), 20);
+    updater.applyConfiguration(configuration(6), 21);
+    assertEquals(view.configuration().orElseThrow().version(), 7);
+    updater.applyConfiguration(configuration(8), 20);
+    assertEquals(view.configuration().orElseThrow().version(), 8);
+  }
+
   @Test
   public void evacuatedZoneReceivesNoRequestsUntilItIsRestored() {
     FleetView view = new FleetView();
