Connect to other VMs from the address by which they know this VM

A VM with several addresses connected from any of them, so the VM that it wanted to follow refused it as unknown (RWT3001) and no change was ever passed on: each VM read the store alone.

The connection is now opened from the VM's own address.

--- a/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
@@ -83,7 +83,7 @@
     server.start(loop, serverType, address);
     loop.execute(
         () -> {
-          client = new FeedClient(loop, clientType, new ClientListener());
+          client = new FeedClient(loop, clientType, address.getAddress(), new ClientListener());
           controller.start();
           time.every(FeedController.HEARTBEAT_MILLIS, this::beat);
         });
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/FeedClient.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/FeedClient.java
@@ -12,6 +12,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.feed.StorePosition;
 import org.ragworttide.daemon.log.EventLog;
@@ -44,11 +46,18 @@
   private final Listener listener;
   private final EventLoop loop;
   private final Class<? extends Channel> type;
+  private final InetAddress own;
   private Channel channel;
 
-  FeedClient(EventLoop loop, Class<? extends Channel> type, Listener listener) {
+  /**
+   * Creates a client without a connection.
+   *
+   * @param own the address from which it connects: the one by which the other VMs know this VM
+   */
+  FeedClient(EventLoop loop, Class<? extends Channel> type, InetAddress own, Listener listener) {
     this.loop = loop;
     this.type = type;
+    this.own = own;
     this.listener = listener;
   }
 
@@ -74,7 +83,7 @@
                         .addLast(new Receiver(parent));
                   }
                 })
-            .connect(FeedAddress.address(parent.address()));
+            .connect(FeedAddress.address(parent.address()), new InetSocketAddress(own, 0));
     channel = connecting.channel();
     Channel opening = channel;
     connecting.addListener(
