Ask other VMs for what they keep whenever the store begins an era

A gateway that was suspended or cut off while the last changes before a return were made found itself in the new era with nothing to keep, served the copy's older configuration and, as the source of others, kept them from learning better. One that was asked before it had noticed the return counted as asked.

A reader now asks three VMs at each new era, not only after its start, and a VM that still is in an earlier era is asked again.

--- a/coordination/src/main/java/org/ragworttide/coordination/feed/FeedController.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/feed/FeedController.java
@@ -16,10 +16,9 @@
  * <p>Answers these patterns: a fleet of hundreds of VMs of which each would watch the store; a VM
  * that passes changes on and dies, freezes, is cut off from the store or is refused by it while
  * others are served; a VM that the store refuses and that knows nothing new; a store that is down
- * for all; a reader that starts beside a store that has returned from a copy. A VM that hears
- * nothing for {@link #SILENCE_MILLIS}, or whose peers know a later position, reads the store
- * itself; a reader that has just started receives once from another VM what that one keeps of
- * earlier eras.
+ * for all; a store that has returned from a copy. A VM that hears nothing for {@link
+ * #SILENCE_MILLIS}, or whose peers know a later position, reads the store itself; a reader that has
+ * just started receives once from another VM what that one keeps of earlier eras.
  *
  * <p>Invariants: a VM that is followed by this one does not receive its changes through this one; a
  * VM either watches the store or has received a message of the followed VM within {@link
@@ -81,12 +80,15 @@
   static final long SUBSTITUTE_MILLIS = 500;
 
   /**
-   * Milliseconds after a start in which a reader asks other VMs for what they keep of earlier eras;
-   * time for several attempts with each.
+   * Milliseconds after a start, and after the store has begun an era, in which a reader asks other
+   * VMs for what they keep of earlier eras; time for several attempts with each.
    */
   static final long CONSULT_MILLIS = 3_000;
 
-  /** VMs that a reader asks after its start: some may have started with it and know nothing. */
+  /** Milliseconds between two VMs that a reader asks. */
+  static final long CONSULT_PERIOD_MILLIS = 250;
+
+  /** VMs that a reader asks: some may have started, or been cut off, together with it. */
   static final int CONSULTED_VMS = 3;
 
   /** Most VMs that a change may pass; a longer path is not a tree of any planned fleet. */
@@ -117,8 +119,9 @@
   private StorePosition missing = StorePosition.NONE;
   private StorePosition known = StorePosition.NONE;
   private StorePosition latest = StorePosition.NONE;
-  private long startedAtMillis = NEVER;
+  private long consultsSinceMillis = NEVER;
   private final Set<Long> consulted = new HashSet<>();
+  private int consultations;
   private boolean watching;
   private boolean announcedAvailable;
 
@@ -142,7 +145,7 @@
   /** Starts to take decisions, once the VM is able to reach others. */
   public void start() {
     lostAtMillis = time.nowMillis();
-    startedAtMillis = lostAtMillis;
+    consultsSinceMillis = lostAtMillis;
     time.every(TICK_MILLIS, this::update);
   }
 
@@ -172,14 +175,21 @@
     update();
   }
 
-  /** Records the status in a message of the VM that is followed. */
-  public void recordMessage(FeedMember from, FeedStatus status) {
+  /**
+   * Records a message of the VM that is followed.
+   *
+   * @param position the position up to which that VM knows all changes
+   */
+  public void recordMessage(FeedMember from, StorePosition position, FeedStatus status) {
     if (followed.isEmpty() || followed.get().address() != from.address()) {
       return;
     }
     long now = time.nowMillis();
     if (isConsulting(now) && isReader(now)) {
-      consulted.add(from.address());
+      // A VM that has not noticed the new era does not know yet what it keeps.
+      if (position.era() >= known.era()) {
+        consulted.add(from.address());
+      }
       if (storeFailedAtMillis == NEVER) {
         drop();
         update();
@@ -212,6 +222,10 @@
 
   /** Records the position up to which this VM knows all changes. */
   public void recordKnownPosition(StorePosition position) {
+    if (position.era() > known.era() && !known.isNone()) {
+      consultsSinceMillis = time.nowMillis();
+      consulted.clear();
+    }
     known = later(known, position);
     if (!missing.isAfter(known)) {
       missing = latest;
@@ -302,14 +316,23 @@
       }
       return;
     }
+    if (consults && now - substitutedAtMillis >= CONSULT_PERIOD_MILLIS) {
+      substitutedAtMillis = now;
+      List<FeedMember> others =
+          tree.alternatives(excluded).stream()
+              .filter(vm -> !consulted.contains(vm.address()))
+              .toList();
+      if (!others.isEmpty()) {
+        consultations++;
+        follow(others.get(consultations % others.size()), now);
+        return;
+      }
+    }
     boolean hasStoreFailed =
         storeFailedAtMillis != NEVER && now - storeFailedAtMillis >= STORE_FAILED_MILLIS;
-    if ((hasStoreFailed || consults) && now - substitutedAtMillis >= SUBSTITUTE_MILLIS) {
+    if (hasStoreFailed && now - substitutedAtMillis >= SUBSTITUTE_MILLIS) {
       substitutedAtMillis = now;
-      tree.alternatives(excluded).stream()
-          .filter(vm -> hasStoreFailed || !consulted.contains(vm.address()))
-          .findFirst()
-          .ifPresent(vm -> follow(vm, now));
+      tree.alternatives(excluded).stream().findFirst().ifPresent(vm -> follow(vm, now));
     }
   }
 
@@ -377,7 +400,7 @@
   }
 
   private boolean isConsulting(long now) {
-    return consulted.size() < CONSULTED_VMS && now - startedAtMillis < CONSULT_MILLIS;
+    return consulted.size() < CONSULTED_VMS && now - consultsSinceMillis < CONSULT_MILLIS;
   }
 
   private boolean isReader(long now) {
--- a/coordination/src/test/java/org/ragworttide/coordination/feed/FeedFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/feed/FeedFleet.java
@@ -334,7 +334,7 @@
             if (follower.running && follower.connection == receiving && link.test(this, follower)) {
               follower.apply(batch);
               follower.retain(retained);
-              follower.controller.recordMessage(member, status);
+              follower.controller.recordMessage(member, batch.position(), status);
             }
           });
     }
--- a/coordination/src/test/java/org/ragworttide/coordination/feed/RestoredFleetTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/feed/RestoredFleetTest.java
@@ -141,4 +141,30 @@
     returnStore(fleet, copy, writes);
     fleet.millisUntilKnown(fleet.change(CONFIGURATION), fleet.running(), APPLY_LIMIT_MILLIS);
   }
+
+  /** Guards against an older configuration on VMs that were cut off before the store was lost. */
+  @Test(dataProvider = "fleets")
+  public void vmsThatMissedTheLastChangesLearnThemFromOthers(int size, int lost, int writes) {
+    FeedFleet fleet = new FeedFleet(size, size + writes);
+    fleet.advance(SETTLED_MILLIS);
+    List<Vm> cut =
+        fleet.vms.stream().filter(vm -> vm.index % 4 == 1 || vm == fleet.readers().get(0)).toList();
+    cut.forEach(vm -> vm.store = StoreState.SILENT);
+    fleet.setLink((from, to) -> !cut.contains(from) && !cut.contains(to));
+    List<Vm> inTouch = fleet.running().stream().filter(vm -> !cut.contains(vm)).toList();
+    fleet.advance(SETTLED_MILLIS);
+    final FeedFleet.Copy copy = fleet.copy();
+    for (int i = 0; i < lost; i++) {
+      fleet.millisUntilKnown(fleet.change(CONFIGURATION), inTouch, APPLY_LIMIT_MILLIS);
+    }
+    final long inForce = inTouch.getFirst().configuration();
+    fleet.setLink((from, to) -> true);
+    returnStore(fleet, copy, writes);
+    // The VMs that know the changes notice the return later than the others.
+    inTouch.forEach(vm -> vm.store = StoreState.REFUSES);
+    fleet.advance(600);
+    inTouch.forEach(vm -> vm.store = StoreState.SERVES);
+    fleet.advance(STABLE_MILLIS);
+    fleet.running().forEach(vm -> assertEquals(vm.configuration(), inForce, "VM " + vm.index));
+  }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
@@ -230,7 +230,7 @@
       }
       apply(message.batch());
       retain(message.retained());
-      controller.recordMessage(from, message.status());
+      controller.recordMessage(from, message.batch().position(), message.status());
     }
 
     @Override
