--- a/coordination/src/main/java/org/ragworttide/coordination/feed/FeedController.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/feed/FeedController.java
@@ -79,18 +79,6 @@
   /** Milliseconds between the VMs that a reader asks one after another while the store fails. */
   static final long SUBSTITUTE_MILLIS = 500;
 
-  /**
-   * Milliseconds after a start, and after the store has begun an era, in which a reader asks other
-   * VMs for what they keep of earlier eras; time for several attempts with each.
-   */
-  static final long CONSULT_MILLIS = 3_000;
-
-  /** Milliseconds between two VMs that a reader asks. */
-  static final long CONSULT_PERIOD_MILLIS = 250;
-
-  /** VMs that a reader asks: some may have started, or been cut off, together with it. */
-  static final int CONSULTED_VMS = 3;
-
   /** Most VMs that a change may pass; a longer path is not a tree of any planned fleet. */
   static final int MAX_PATH = 12;
 
@@ -102,6 +90,7 @@
   private final FeedPort port;
   private final TimerService time;
   private final Map<Long, Suspicion> suspicions = new HashMap<>();
+  private final Consultation consultation = new Consultation();
   private Optional<FeedMember> followed = Optional.empty();
   private List<Long> followedPath = List.of();
   private boolean followedAvailable;
@@ -119,9 +108,6 @@
   private StorePosition missing = StorePosition.NONE;
   private StorePosition known = StorePosition.NONE;
   private StorePosition latest = StorePosition.NONE;
-  private long consultsSinceMillis = NEVER;
-  private final Set<Long> consulted = new HashSet<>();
-  private int consultations;
   private boolean watching;
   private boolean announcedAvailable;
 
@@ -145,7 +131,7 @@
   /** Starts to take decisions, once the VM is able to reach others. */
   public void start() {
     lostAtMillis = time.nowMillis();
-    consultsSinceMillis = lostAtMillis;
+    consultation.begin(lostAtMillis);
     time.every(TICK_MILLIS, this::update);
   }
 
@@ -185,10 +171,10 @@
       return;
     }
     long now = time.nowMillis();
-    if (isConsulting(now) && isReader(now)) {
+    if (consultation.isActive(now) && isReader(now)) {
       // A VM that has not noticed the new era does not know yet what it keeps.
       if (position.era() >= known.era()) {
-        consulted.add(from.address());
+        consultation.recordAnswer(from);
       }
       if (storeFailedAtMillis == NEVER) {
         drop();
@@ -223,8 +209,7 @@
   /** Records the position up to which this VM knows all changes. */
   public void recordKnownPosition(StorePosition position) {
     if (position.era() > known.era() && !known.isNone()) {
-      consultsSinceMillis = time.nowMillis();
-      consulted.clear();
+      consultation.begin(time.nowMillis());
     }
     known = later(known, position);
     if (!missing.isAfter(known)) {
@@ -309,24 +294,16 @@
    * Lets a reader follow another VM while the store fails, and some VMs shortly after its start.
    */
   private void chooseSubstitute(Set<Long> excluded, long now) {
-    boolean consults = isConsulting(now);
     if (followed.isPresent()) {
-      if (storeFailedAtMillis == NEVER && !consults) {
+      if (storeFailedAtMillis == NEVER && !consultation.isActive(now)) {
         drop();
       }
       return;
     }
-    if (consults && now - substitutedAtMillis >= CONSULT_PERIOD_MILLIS) {
-      substitutedAtMillis = now;
-      List<FeedMember> others =
-          tree.alternatives(excluded).stream()
-              .filter(vm -> !consulted.contains(vm.address()))
-              .toList();
-      if (!others.isEmpty()) {
-        consultations++;
-        follow(others.get(consultations % others.size()), now);
-        return;
-      }
+    Optional<FeedMember> consulted = consultation.next(tree.alternatives(excluded), now);
+    if (consulted.isPresent()) {
+      follow(consulted.get(), now);
+      return;
     }
     boolean hasStoreFailed =
         storeFailedAtMillis != NEVER && now - storeFailedAtMillis >= STORE_FAILED_MILLIS;
@@ -399,10 +376,6 @@
             && now - checkedAtMillis >= CHECK_MILLIS;
   }
 
-  private boolean isConsulting(long now) {
-    return consulted.size() < CONSULTED_VMS && now - consultsSinceMillis < CONSULT_MILLIS;
-  }
-
   private boolean isReader(long now) {
     return tree.parent(suspected(now)).isEmpty();
   }
