Ignore what a suspended VM keeps of changes that others have seen replaced

A VM now takes over only changes that are later than what it knew itself of their era.

Evidence: RestoredLogTest.whatThisVmHasKnownInTheEarlierEraIsNotTakenOver took over 2 changes before, now none. Found by reading.

--- a/coordination/src/main/java/org/ragworttide/coordination/feed/ChangeLog.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/feed/ChangeLog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -35,6 +36,9 @@
   /** In the order of the writes, the latest last. */
   private final Map<String, Entry> entries = new LinkedHashMap<>();
 
+  /** The last revision that was known of each earlier era. */
+  private final Map<Long, Long> endsOfEras = new HashMap<>();
+
   private final RetainedChanges retained;
   private int deletions;
   private StorePosition position = StorePosition.NONE;
@@ -107,6 +111,7 @@
         (key, entry) ->
             known.put(key, new RetainedChange(position.era(), entry.change(key, nowMillis), 0)));
     retained.all(nowMillis).forEach(change -> known.put(change.change().key(), change));
+    endsOfEras.put(position.era(), position.revision());
     entries.clear();
     deletions = 0;
     oldestKnownRevision = listing.revision();
@@ -158,14 +163,15 @@
   }
 
   /**
-   * Keeps the changes that another VM keeps and that are newer than what this VM knows.
+   * Keeps the changes that another VM keeps and that are newer than what this VM knows. A change
+   * that this VM has known in its era is none of them: it has been kept, replaced or given up here.
    *
    * @return the changes that were not known
    */
   public List<Change> retain(List<RetainedChange> received, long nowMillis) {
     List<Change> applied = new ArrayList<>();
     for (RetainedChange change : received) {
-      if (change.era() < position.era() && retain(change, nowMillis)) {
+      if (isNews(change) && retain(change, nowMillis)) {
         applied.add(change.change());
       }
     }
@@ -187,6 +193,11 @@
         && !(before.isPresent() && Change.hasSameValue(before.get(), received.change()));
   }
 
+  private boolean isNews(RetainedChange received) {
+    long knownRevision = endsOfEras.getOrDefault(received.era(), 0L);
+    return received.era() < position.era() && received.change().revision() > knownRevision;
+  }
+
   /**
    * Gives up the changes of earlier eras that the store has not confirmed in time.
    *
--- a/coordination/src/test/java/org/ragworttide/coordination/feed/RestoredLogTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/feed/RestoredLogTest.java
@@ -192,4 +192,21 @@
     assertTrue(batch.changes().isEmpty());
     assertFalse(batch.listing());
   }
+
+  /** Guards against what a VM that was suspended says of items that have changed since. */
+  @Test
+  public void whatThisVmHasKnownInTheEarlierEraIsNotTakenOver() {
+    change(1, 20, 21, Change.put(ZONE, 21, VALUE));
+    change(1, 21, 22, numbered("numbered gone", 22, 1));
+    ChangeLog suspended = new ChangeLog(new NumberedItems());
+    suspended.apply(log.changesAfter(StorePosition.NONE, 0), 0);
+    change(1, 22, 23, Change.deletion(ZONE, 23, 0));
+    change(1, 23, 24, Change.deletion("numbered gone", 24, 0));
+    Change[] copy = {numbered(CONFIGURATION, 20, 8), numbered(UPSTREAM, 5, 7)};
+    list(2, 20, copy);
+    suspended.apply(ChangeBatch.listing(log.position(), List.of(copy), 0), 0);
+    assertEquals(suspended.retained(0).size(), 2);
+    assertEquals(log.retain(suspended.retained(0), 0), List.of());
+    assertTrue(log.retained(0).isEmpty());
+  }
 }
