Do not keep a deletion that is not final beyond the return of the store

An entry that had expired during an outage was kept as deleted for 10 s after the return, although the restored store had it: the upstream received nothing until then.

Evidence: RestoredLogTest.deletionThatIsNotFinalDoesNotOutliveTheCopy failed before. Found by reading.

--- a/coordination/src/main/java/org/ragworttide/coordination/feed/RetainedChanges.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/feed/RetainedChanges.java
@@ -54,7 +54,8 @@
     if (present.isEmpty()) {
       return known.value().isPresent() && rules.missingGraceMillis(known.key()) > 0;
     }
-    if (rules.outdatedGraceMillis(known.key()) <= 0) {
+    boolean isFinal = known.graceMillis() == 0;
+    if (!isFinal || rules.outdatedGraceMillis(known.key()) <= 0) {
       return false;
     }
     Optional<ItemVersion> knownVersion = version(known);
--- a/coordination/src/test/java/org/ragworttide/coordination/feed/RestoredLogTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/feed/RestoredLogTest.java
@@ -209,4 +209,13 @@
     assertEquals(log.retain(suspended.retained(0), 0), List.of());
     assertTrue(log.retained(0).isEmpty());
   }
+
+  /** Guards against the loss of an upstream whose entry expired during an outage. */
+  @Test
+  public void deletionThatIsNotFinalDoesNotOutliveTheCopy() {
+    change(1, 20, 21, Change.deletion(UPSTREAM, 21, 2_000));
+    assertEquals(
+        list(2, 10, numbered(CONFIGURATION, 20, 8), numbered(UPSTREAM, 5, 7)),
+        List.of(UPSTREAM + " 7"));
+  }
 }
