--- a/coordination/src/main/java/org/ragworttide/coordination/placement/PeerLoads.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/PeerLoads.java
@@ -92,6 +92,11 @@
     return Math.max(knownPeers, statements.size()) + 1;
   }
 
+  /** Returns the number of other VMs of which a current statement is known. */
+  public int statingPeers() {
+    return statements.size();
+  }
+
   /**
    * Returns whether current statements of most other VMs are known. In a large fleet they are not,
    * and reports of upstreams say more about the requests of all VMs.
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
@@ -1,5 +1,6 @@
 package org.ragworttide.coordination.placement;
 
+import java.util.OptionalLong;
 import org.ragworttide.coordination.hash.Rendezvous;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
@@ -32,6 +33,9 @@
    */
   private static final double DURATION_WEIGHT = 0.125;
 
+  /** Time of a report that was never received: long ago for any clock. */
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final UpstreamId id;
   private final ZoneId zone;
   private final long idHash;
@@ -43,7 +47,7 @@
   private int inFlight;
   private int reportedRequests;
   private int startedSinceReport;
-  private long reportedAtMillis = Long.MIN_VALUE / 2;
+  private long reportedAtMillis = NEVER;
   private double meanDurationMillis;
   private long answeredAtMillis;
 
@@ -151,6 +155,13 @@
     reportedAtMillis = nowMillis;
   }
 
+  /** Returns the milliseconds since the last report, empty if there was none. */
+  public OptionalLong reportAgeMillis(long nowMillis) {
+    return reportedAtMillis == NEVER
+        ? OptionalLong.empty()
+        : OptionalLong.of(nowMillis - reportedAtMillis);
+  }
+
   /** Returns the estimated number of requests at the upstream, including those of other VMs. */
   public int estimatedRequests(long nowMillis) {
     int ownAndStated = inFlight + peers.inFlight(key());
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -219,6 +219,7 @@
         .recordPlacement(
             request.metadata().id(),
             chosen.get().load(),
+            context.view().peers(),
             availableUpstreams,
             now,
             prompt,
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.ragworttide.coordination.id.UpstreamId;
+import org.ragworttide.coordination.placement.PeerLoads;
 import org.ragworttide.coordination.placement.Prompt;
 import org.ragworttide.coordination.placement.UpstreamLoad;
 import org.ragworttide.coordination.quarantine.Suspect;
@@ -50,6 +51,7 @@
   void recordPlacement(
       String requestId,
       UpstreamLoad load,
+      PeerLoads peers,
       int availableUpstreams,
       long nowMillis,
       Optional<Prompt> prompt,
@@ -61,6 +63,9 @@
         load.id(),
         load.estimatedRequests(nowMillis),
         load.inFlight(),
+        peers.statingPeers(),
+        peers.fleetSize() - 1,
+        load.reportAgeMillis(nowMillis).orElse(-1),
         availableUpstreams,
         prompt.map(Prompt::sessionLabel).orElse("none"),
         prompt.map(Prompt::inputTokens).orElse(0),
