--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import org.ragworttide.coordination.id.ZoneId;
 
 /**
@@ -18,7 +19,10 @@
  * is known to hold goes to that engine instead, or to a second engine in another availability zone,
  * which fetches the prompt once: the two share the session's load, save traffic between zones, and
  * each keeps the prompt if the other is lost. An engine above the load bound is skipped for the
- * next one in the same order, so that all VMs spill to the same engines.
+ * next one in the same order, so that all VMs spill to the same engines. In a large fleet, whose
+ * VMs learn of each other's requests late, they would all fill the next engine in that time; there,
+ * the sessions of an engine that was overloaded lately are shared by the first engines of their
+ * order, as many as their requests need.
  *
  * <p>Invariant: the chosen engine is a candidate, and it is within the load bound if any candidate
  * is. Confined to one thread.
@@ -67,21 +71,30 @@
   /** Number of engines that share a session's load while none of them is full. */
   private static final int ENGINES_PER_SESSION = 2;
 
+  /** Part of the load bound above which a session's first engine shares its requests. */
+  private static final double BUSY_LOAD = 0.75;
+
+  /** Part of the load bound up to which engines are filled that share a session's requests. */
+  private static final double SPREAD_LOAD = 0.5;
+
   private static final Comparator<Weighted> HEAVIEST_FIRST =
       Comparator.comparingLong(Weighted::weight).reversed();
 
   private final ZoneId ownZone;
   private final PromptIndex index;
+  private final RandomGenerator random;
 
   /**
    * Creates the placement of a VM.
    *
    * @param ownZone the VM's availability zone
    * @param index the prompt parts that each engine holds
+   * @param random chooses between engines that share the requests of a session
    */
-  public EnginePlacement(ZoneId ownZone, PromptIndex index) {
+  public EnginePlacement(ZoneId ownZone, PromptIndex index, RandomGenerator random) {
     this.ownZone = ownZone;
     this.index = index;
+    this.random = random;
   }
 
   /**
@@ -106,6 +119,11 @@
     LoadBound bound =
         prompt.sharedTokens() < CHEAP_PREFILL_TOKENS ? SHORT_PROMPT_BOUND : LONG_PROMPT_BOUND;
     double maxRequests = bound.maxRequests(open, nowMillis);
+    int spread = spread(order, maxRequests, nowMillis);
+    if (spread > 1) {
+      return spreadOver(order, spread, maxRequests, nowMillis)
+          .or(() -> leastLoaded(open, nowMillis));
+    }
     return sessionEngines(prompt, order, canFetch, nowMillis).stream()
         .filter(engine -> engine.estimatedRequests(nowMillis) + 1 <= maxRequests)
         .min(Comparator.comparingInt(engine -> cost(prompt, engine, order.getFirst(), nowMillis)))
@@ -113,6 +131,53 @@
         .or(() -> leastLoaded(open, nowMillis));
   }
 
+  /**
+   * Returns the number of engines that share a session's requests because its first engine was
+   * overloaded lately. Where the loads of most VMs are known, an overload is seen at once and one
+   * engine after the other is used.
+   */
+  private static int spread(List<UpstreamLoad> order, double maxRequests, long nowMillis) {
+    UpstreamLoad home = order.getFirst();
+    if (!home.isSampled() || home.peakRequests(nowMillis) <= maxRequests * BUSY_LOAD) {
+      return 1;
+    }
+    double peaks = 0;
+    int spread = 0;
+    do {
+      peaks += order.get(spread).peakRequests(nowMillis);
+      spread++;
+    } while (peaks > spread * maxRequests * SPREAD_LOAD && spread < order.size());
+    return spread;
+  }
+
+  /**
+   * Chooses at random from the first engines in the order, in proportion to their room. VMs that
+   * learn late of each other's requests would fill one engine after the other if all chose the one
+   * with the most room.
+   */
+  private Optional<UpstreamLoad> spreadOver(
+      List<UpstreamLoad> order, int spread, double maxRequests, long nowMillis) {
+    for (int count = spread; count < 2 * order.size(); count *= 2) {
+      List<UpstreamLoad> engines = order.subList(0, Math.min(count, order.size()));
+      double room = 0;
+      for (UpstreamLoad engine : engines) {
+        room += room(engine, maxRequests, nowMillis);
+      }
+      double drawn = random.nextDouble() * room;
+      for (UpstreamLoad engine : engines) {
+        drawn -= room(engine, maxRequests, nowMillis);
+        if (drawn < 0) {
+          return Optional.of(engine);
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static double room(UpstreamLoad engine, double maxRequests, long nowMillis) {
+    return Math.max(0, maxRequests - engine.estimatedRequests(nowMillis) - 1);
+  }
+
   /**
    * Returns the engines that hold the session's prompt and, if there are any, the engines that may
    * fetch it from them.
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/PeerLoads.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/PeerLoads.java
@@ -105,6 +105,11 @@
     return !statements.isEmpty() && statements.size() >= MOST_PEERS * knownPeers;
   }
 
+  /** Returns whether other VMs are known, but current statements of most of them are not. */
+  boolean isSampled() {
+    return fleetSize() > 1 && !isMostlyKnown();
+  }
+
   /** Returns the key that identifies an upstream in statements, given the hash of its id. */
   public static int key(long idHash) {
     return (int) (idHash ^ idHash >>> Integer.SIZE);
--- a/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/UpstreamLoad.java
@@ -1,5 +1,9 @@
 package org.ragworttide.coordination.placement;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.ragworttide.coordination.hash.Rendezvous;
 import org.ragworttide.coordination.id.UpstreamId;
@@ -25,6 +29,12 @@
    */
   private static final long FRESH_REPORT_MILLIS = 200;
 
+  /**
+   * Milliseconds after which half of a peak remains: longer than the requests of a session whose
+   * engine was overloaded need to end.
+   */
+  private static final long PEAK_HALF_LIFE_MILLIS = 3_000;
+
   /** Milliseconds without an answer after which the mean duration is halved. */
   private static final long DURATION_HALF_LIFE_MILLIS = 4_000;
 
@@ -46,8 +56,10 @@
   private int slots;
   private int inFlight;
   private int reportedRequests;
-  private int startedSinceReport;
+  private final Deque<Long> recentStarts = new ArrayDeque<>();
   private long reportedAtMillis = NEVER;
+  private int peakRequests;
+  private long peakAtMillis = NEVER;
   private double meanDurationMillis;
   private long answeredAtMillis;
 
@@ -126,9 +138,12 @@
   }
 
   /** Records that this VM has sent a request. */
-  public void recordStart() {
+  public void recordStart(long nowMillis) {
     inFlight++;
-    startedSinceReport++;
+    recentStarts.addLast(nowMillis);
+    while (nowMillis - recentStarts.getFirst() > REPORT_LIFETIME_MILLIS) {
+      recentStarts.removeFirst();
+    }
   }
 
   /** Records that a request of this VM has ended. */
@@ -148,11 +163,44 @@
             : meanDurationMillis + DURATION_WEIGHT * (millis - meanDurationMillis);
   }
 
-  /** Records a report of the upstream on the requests of all VMs. */
-  public void recordReport(int running, int waiting, long nowMillis) {
-    reportedRequests = running + waiting;
-    startedSinceReport = 0;
-    reportedAtMillis = nowMillis;
+  /**
+   * Records a report of the upstream on the requests of all VMs, unless a later one is known.
+   *
+   * @param requests the requests that it runs or that wait there
+   * @param atMillis when it reported them, on this VM's clock
+   */
+  public void recordReport(int requests, long atMillis) {
+    if (atMillis >= reportedAtMillis) {
+      if (requests >= peakRequests(atMillis)) {
+        peakRequests = requests;
+        peakAtMillis = atMillis;
+      }
+      reportedRequests = requests;
+      reportedAtMillis = atMillis;
+    }
+  }
+
+  /**
+   * Returns the largest number of requests that the upstream has reported lately, which decays: of
+   * earlier reports less remains.
+   */
+  double peakRequests(long nowMillis) {
+    double halfLives = (double) Math.max(0, nowMillis - peakAtMillis) / PEAK_HALF_LIFE_MILLIS;
+    return peakRequests * Math.pow(2, -halfLives);
+  }
+
+  /**
+   * Returns whether the requests of most other VMs at the upstream are known late or not at all.
+   */
+  boolean isSampled() {
+    return peers.isSampled();
+  }
+
+  /** Returns the last report of the upstream to this or another VM, empty if there was none. */
+  public Optional<LoadReport> report() {
+    return reportedAtMillis == NEVER
+        ? Optional.empty()
+        : Optional.of(new LoadReport(incarnationKey(), reportedRequests, reportedAtMillis));
   }
 
   /** Returns the milliseconds since the last report, empty if there was none. */
@@ -169,7 +217,16 @@
     if (nowMillis - reportedAtMillis > lifetime) {
       return ownAndStated;
     }
-    return Math.max(ownAndStated, reportedRequests + startedSinceReport);
+    return Math.max(ownAndStated, reportedRequests + startedSinceReport());
+  }
+
+  private int startedSinceReport() {
+    int started = 0;
+    for (Iterator<Long> newest = recentStarts.descendingIterator();
+        newest.hasNext() && newest.next() >= reportedAtMillis; ) {
+      started++;
+    }
+    return started;
   }
 
   /** Returns the key that identifies this incarnation of the upstream in the statements of VMs. */
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
@@ -75,7 +75,7 @@
     Map<UpstreamId, Integer> load = new HashMap<>();
     for (int request = 0; request < 130; request++) {
       UpstreamLoad engine = choose(placement, PlacementFixture.prompt(1, 7, request), engines);
-      engine.recordStart();
+      engine.recordStart(NOW);
       load.merge(engine.id(), 1, Integer::sum);
     }
     int most = load.values().stream().mapToInt(Integer::intValue).max().orElseThrow();
@@ -124,9 +124,9 @@
     List<UpstreamLoad> engines = PlacementFixture.engines(3);
     engines.add(PlacementFixture.engine("a", PlacementFixture.WALL_MILLIS - 2_000));
     engines.add(PlacementFixture.engine("b", PlacementFixture.WALL_MILLIS - 2_000));
-    engines.get(0).recordReport(300, 0, NOW);
-    engines.get(1).recordReport(300, 0, NOW);
-    engines.get(2).recordReport(300, 0, NOW);
+    engines.get(0).recordReport(300, NOW);
+    engines.get(1).recordReport(300, NOW);
+    engines.get(2).recordReport(300, NOW);
     UpstreamLoad chosen =
         choose(PlacementFixture.placement(), PlacementFixture.prompt(1, 1, 1), engines);
     assertTrue(chosen.id().value().length() == 1, "chosen " + chosen.id());
@@ -152,12 +152,12 @@
   @Test
   public void shortPromptsSpillFromFullEngineBeforeLongOnes() {
     List<UpstreamLoad> engines = PlacementFixture.engines(8);
-    engines.forEach(it -> it.recordReport(10, 0, NOW));
+    engines.forEach(it -> it.recordReport(10, NOW));
     UpstreamLoad home =
         choose(PlacementFixture.placement(), PlacementFixture.prompt(1, 7, 1), engines);
     UpstreamLoad shortHome = choose(PlacementFixture.placement(), shortPrompt(9), engines);
-    home.recordReport(16, 0, NOW);
-    shortHome.recordReport(16, 0, NOW);
+    home.recordReport(16, NOW);
+    shortHome.recordReport(16, NOW);
     assertEquals(
         choose(PlacementFixture.placement(), PlacementFixture.prompt(1, 7, 2), engines).id(),
         home.id());
@@ -170,7 +170,7 @@
     List<UpstreamLoad> engines = PlacementFixture.engines(8);
     UpstreamLoad home =
         choose(PlacementFixture.placement(), PlacementFixture.prompt(1, 7, 1), engines);
-    home.recordReport(40, 0, NOW);
+    home.recordReport(40, NOW);
     Set<UpstreamId> spilledTo = new HashSet<>();
     for (int vm = 0; vm < 5; vm++) {
       EnginePlacement placement = PlacementFixture.placement();
@@ -188,7 +188,7 @@
     UpstreamLoad home = choose(placement, prompt, engines);
     index.recordSentPrompt(prompt, home, NOW);
     assertEquals(source(placement, prompt, home, engines), Optional.empty());
-    home.recordReport(40, 0, NOW);
+    home.recordReport(40, NOW);
     UpstreamLoad other = choose(placement, prompt, engines);
     assertEquals(source(placement, prompt, other, engines), Optional.of(home));
   }
@@ -232,7 +232,7 @@
     UpstreamLoad next = choose(placement, prompt, open);
     index.recordSentPrompt(prompt, next, NOW);
     assertEquals(choose(placement, prompt, engines).id(), next.id());
-    next.recordReport(4, 0, NOW);
+    next.recordReport(4, NOW);
     assertEquals(choose(placement, prompt, engines).id(), crashed.id());
     assertEquals(source(placement, prompt, crashed, engines), Optional.of(next));
   }
@@ -274,18 +274,18 @@
       engines.add(
           PlacementFixture.engine("engine-" + i, "zone-" + i % 3, PlacementFixture.OLD_MILLIS));
     }
-    engines.forEach(it -> it.recordReport(10, 0, NOW));
+    engines.forEach(it -> it.recordReport(10, NOW));
     Prompt prompt = PlacementFixture.prompt(1, 7, 1);
     UpstreamLoad home = choose(placement, prompt, engines);
     index.recordSentPrompt(prompt, home, NOW);
-    home.recordReport(19, 0, NOW);
+    home.recordReport(19, NOW);
     UpstreamLoad second = choose(placement, prompt, engines);
     assertNotEquals(second.zone(), home.zone());
     index.recordSentPrompt(prompt, second, NOW);
     Set<UpstreamLoad> used = new HashSet<>();
     for (int request = 0; request < 14; request++) {
       UpstreamLoad engine = choose(placement, prompt, engines);
-      engine.recordStart();
+      engine.recordStart(NOW);
       used.add(engine);
     }
     assertEquals(used, Set.of(home, second));
@@ -302,7 +302,7 @@
     index.recordSentPrompt(prompt, near, NOW);
     index.recordSentPrompt(prompt, far, NOW);
     assertEquals(choose(placement, prompt, engines), near);
-    near.recordReport(3, 0, NOW);
+    near.recordReport(3, NOW);
     assertEquals(choose(placement, prompt, engines), far);
   }
 
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/PlacementFixture.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/PlacementFixture.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.ragworttide.coordination.hash.Rendezvous;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
@@ -20,7 +21,7 @@
   }
 
   static EnginePlacement placement(PromptIndex index) {
-    return new EnginePlacement(new ZoneId("zone"), index);
+    return new EnginePlacement(new ZoneId("zone"), index, new SplittableRandom(20261206));
   }
 
   static List<UpstreamLoad> engines(int count) {
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/ServicePlacementTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/ServicePlacementTest.java
@@ -46,7 +46,7 @@
         List.of(upstream("a", "near"), upstream("b", "far"), upstream("c", "far"));
     upstreams.forEach(it -> it.recordDuration(80, 0));
     for (int i = 0; i < 18; i++) {
-      choose(upstreams).recordStart();
+      choose(upstreams).recordStart(0);
     }
     assertTrue(upstreams.stream().allMatch(it -> it.inFlight() >= 5 && it.inFlight() <= 7));
   }
@@ -58,7 +58,7 @@
     slow.recordDuration(400, 0);
     quick.recordDuration(100, 0);
     for (int i = 0; i < 10; i++) {
-      choose(List.of(slow, quick)).recordStart();
+      choose(List.of(slow, quick)).recordStart(0);
     }
     assertEquals(slow.inFlight(), 2);
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -24,6 +24,8 @@
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.placement.LimitRotation;
+import org.ragworttide.coordination.placement.LoadReport;
+import org.ragworttide.coordination.placement.LoadReportSelection;
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
@@ -105,6 +107,7 @@
   private final RepeatedItems<PromptIndex.Holding> holdings = new RepeatedItems<>(MAX_HOLDINGS);
   private final LimitRotation limits = new LimitRotation();
   private final RepeatedItems<Integer> leaving = new RepeatedItems<>(MAX_LEAVING);
+  private final LoadReportSelection reports = new LoadReportSelection();
   private final Set<Integer> statedLeaving = new HashSet<>();
   private Channel channel;
   private long sequence;
@@ -199,6 +202,7 @@
     statement.holdings().forEach(holding -> view.prompts().recordPeerHolding(holding, now));
     statement.limits().forEach(limit -> view.recordPeerLimit(limit.moveTime(now), now));
     statement.leaving().forEach(upstream -> view.recordPeerLeaving(upstream, now));
+    statement.reports().forEach(report -> view.recordPeerReport(report.moveTime(now)));
     view.recordPeerSuspicions(statement.vm(), statement.suspicions().moveTimes(now), now);
     long ownNumber = FeedAddress.number(address);
     for (PeerStatement.KnownVm known : statement.known()) {
@@ -291,7 +295,20 @@
         holdings.next(view.prompts().drainNewHoldings()),
         view.crashes().nextStatement(now).moveTimes(-now),
         limits.next(view.requestLimits(now)).stream().map(it -> it.moveTime(-now)).toList(),
-        leaving.next(newLeaving()));
+        leaving.next(newLeaving()),
+        loadReports(now));
+  }
+
+  /**
+   * Returns reports of upstreams to pass on. In a small fleet, where each VM receives the current
+   * statements of all others, there is no need.
+   */
+  private List<LoadReport> loadReports(long nowMillis) {
+    return peers.size() <= SMALL_FLEET_VMS
+        ? List.of()
+        : reports.next(view.loadReports(), nowMillis).stream()
+            .map(it -> it.moveTime(-nowMillis))
+            .toList();
   }
 
   /** Returns the upstreams that are leaving and that no statement has included yet. */
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
@@ -14,6 +14,7 @@
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.feed.StorePosition;
 import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.placement.LoadReport;
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.placement.StatedLimit;
 import org.ragworttide.coordination.quarantine.Clearance;
@@ -32,7 +33,8 @@
  * upstream, 2 bytes age of the break in units of 10 ms, 2 bytes milliseconds from the sending of
  * the request to the break), 15 clearances (4 bytes suspect, 2 bytes age in units of 10 ms), 16
  * request limits (4 bytes upstream, 2 bytes age in units of 10 ms, 4 bytes thousandths of a request
- * per second, negative for none), 17 upstreams that are leaving (4 bytes), 18 era of the revision.
+ * per second, negative for none), 17 upstreams that are leaving (4 bytes), 18 era of the revision,
+ * 19 reports of upstreams (each 4 bytes upstream, 1 byte requests, 2 bytes age in units of 10 ms).
  * Fields 9 and 10 are those of earlier builds; unknown fields, and bytes that follow those of a
  * limit, are ignored. Immutable, safe for use by any thread.
  *
@@ -48,6 +50,7 @@
  *     statement, thus negative
  * @param limits request limits that upstreams have named; the times are relative as well
  * @param leaving keys of incarnations of upstreams that are leaving
+ * @param reports reports of upstreams on their requests; the times are relative as well
  */
 record PeerStatement(
     VmId vm,
@@ -60,7 +63,8 @@
     List<PromptIndex.Holding> holdings,
     SuspicionStatement suspicions,
     List<StatedLimit> limits,
-    List<Integer> leaving) {
+    List<Integer> leaving,
+    List<LoadReport> reports) {
   private static final int VM = 1;
   private static final int INCARNATION = 2;
   private static final int SEQUENCE = 3;
@@ -76,6 +80,7 @@
   private static final int LIMIT = 16;
   private static final int LEAVING = 17;
   private static final int ERA = 18;
+  private static final int REPORTS = 19;
   private static final int KNOWN_BYTES = Long.BYTES + Integer.BYTES + 1;
   private static final int MAX_SILENT_SECONDS = 255;
 
@@ -96,6 +101,7 @@
     holdings = List.copyOf(holdings);
     limits = List.copyOf(limits);
     leaving = List.copyOf(leaving);
+    reports = List.copyOf(reports);
   }
 
   byte[] encode() {
@@ -131,6 +137,9 @@
       for (int upstream : leaving) {
         out.writeFixed32(LEAVING, upstream);
       }
+      if (!reports.isEmpty()) {
+        out.writeByteArray(REPORTS, LoadReportCodec.bytes(reports));
+      }
       out.flush();
     } catch (IOException e) {
       throw new IllegalStateException("writing to a byte array failed", e);
@@ -155,6 +164,7 @@
     List<Clearance> clearances = new ArrayList<>();
     List<StatedLimit> limits = new ArrayList<>();
     List<Integer> leaving = new ArrayList<>();
+    List<LoadReport> reports = new ArrayList<>();
     int part = 0;
     try {
       for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
@@ -174,6 +184,7 @@
           case CLEARANCE -> clearances.add(SuspicionCodec.clearance(in.readByteArray()));
           case LIMIT -> limits.add(LimitCodec.limit(in.readByteArray()));
           case LEAVING -> leaving.add(in.readFixed32());
+          case REPORTS -> reports.addAll(LoadReportCodec.reports(in.readByteArray()));
           default -> in.skipField(tag);
         }
       }
@@ -189,7 +200,8 @@
               holdings,
               new SuspicionStatement(crashes, clearances),
               limits,
-              leaving));
+              leaving,
+              reports));
     } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -318,7 +318,7 @@
 
     private void begin() {
       tried.add(upstreamId);
-      upstream.load().recordStart();
+      upstream.load().recordStart(context.time().nowMillis());
       context.connector().connect(upstream, this::connected, this::connectFailed);
     }
 
@@ -451,7 +451,7 @@
               it ->
                   upstream
                       .load()
-                      .recordReport(it.running(), it.waiting(), context.time().nowMillis()));
+                      .recordReport(it.running() + it.waiting(), context.time().nowMillis()));
       response.setHead(head, route.kind().isStream());
     }
 
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
@@ -29,6 +29,7 @@
 public final class Placement {
   private final FleetView view;
   private final ZoneId ownZone;
+  private final SplittableRandom random = new SplittableRandom();
   private final ServicePlacement servicePlacement;
   private final Map<ServiceName, EnginePlacement> enginePlacements = new HashMap<>();
   private final Map<ServiceName, OutlierDetector> outlierDetectors = new HashMap<>();
@@ -37,7 +38,7 @@
   public Placement(FleetView view, ZoneId ownZone) {
     this.view = view;
     this.ownZone = ownZone;
-    this.servicePlacement = new ServicePlacement(ownZone, new SplittableRandom());
+    this.servicePlacement = new ServicePlacement(ownZone, random);
   }
 
   /** Returns the service's outlier detector. */
@@ -118,6 +119,6 @@
 
   private EnginePlacement enginePlacement(ServiceName service) {
     return enginePlacements.computeIfAbsent(
-        service, name -> new EnginePlacement(ownZone, view.prompts()));
+        service, name -> new EnginePlacement(ownZone, view.prompts(), random));
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -16,6 +16,7 @@
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.VmId;
 import org.ragworttide.coordination.id.ZoneId;
+import org.ragworttide.coordination.placement.LoadReport;
 import org.ragworttide.coordination.placement.PeerLoads;
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.placement.RequestLimit;
@@ -239,6 +240,21 @@
     return limits;
   }
 
+  /**
+   * Records a report of an upstream that another VM passes on, with its time on this VM's clock.
+   */
+  public void recordPeerReport(LoadReport report) {
+    Upstream upstream = byIncarnation.get(report.upstream());
+    if (upstream != null) {
+      upstream.load().recordReport(report.requests(), report.atMillis());
+    }
+  }
+
+  /** Returns the last reports of the upstreams on their requests. */
+  public List<LoadReport> loadReports() {
+    return upstreams.values().stream().flatMap(it -> it.load().report().stream()).toList();
+  }
+
   /** Returns the keys of the incarnations that are leaving. */
   public Set<Integer> leavingIncarnations() {
     Set<Integer> leaving = new HashSet<>();
--- a/gateway/src/test/java/org/ragworttide/gateway/peer/PeerStatementTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/peer/PeerStatementTest.java
@@ -11,6 +11,7 @@
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.feed.StorePosition;
 import org.ragworttide.coordination.id.VmId;
+import org.ragworttide.coordination.placement.LoadReport;
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.placement.RequestLimit;
 import org.ragworttide.coordination.placement.StatedLimit;
@@ -42,7 +43,8 @@
               new StatedLimit(-6, OptionalDouble.of(2.718), -1_230),
               new StatedLimit(7, OptionalDouble.of(RequestLimit.MAX_PER_SECOND), -10),
               new StatedLimit(8, OptionalDouble.empty(), 0)),
-          List.of(9, -10));
+          List.of(9, -10),
+          List.of(new LoadReport(-11, 255, 0), new LoadReport(12, 0, -2_000)));
 
   @Test
   public void decodedStatementEqualsTheEncodedOne() {
--- a/gateway/src/test/java/org/ragworttide/gateway/view/FleetViewUpdaterTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/view/FleetViewUpdaterTest.java
@@ -133,7 +133,7 @@
     FleetView view = new FleetView();
     FleetViewUpdater updater = new FleetViewUpdater(view, time);
     updater.putUpstream(entry(false, 1));
-    view.availableUpstreams(SERVICE).getFirst().load().recordStart();
+    view.availableUpstreams(SERVICE).getFirst().load().recordStart(0);
     updater.putUpstream(entry(false, 2));
     assertEquals(view.availableUpstreams(SERVICE).getFirst().load().inFlight(), 0);
   }
