--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -77,6 +77,9 @@
   /** Part of the load bound up to which engines are filled that share a session's requests. */
   private static final double SPREAD_LOAD = 0.5;
 
+  /** Multiple of the mean peak up to which engines that share requests count as evenly loaded. */
+  private static final double EVEN_LOAD = 1.5;
+
   private static final Comparator<Weighted> HEAVIEST_FIRST =
       Comparator.comparingLong(Weighted::weight).reversed();
 
@@ -102,12 +105,17 @@
    *
    * @param prompt the request's prompt
    * @param candidates engines that may serve the request
+   * @param present all engines of the service, of whose requests the load bound is a multiple
    * @param canFetch whether an engine can fetch a prompt from another
    * @param nowMillis the time
    * @return the engine, or empty if no candidate admits the request
    */
   public Optional<UpstreamLoad> choose(
-      Prompt prompt, List<UpstreamLoad> candidates, boolean canFetch, long nowMillis) {
+      Prompt prompt,
+      List<UpstreamLoad> candidates,
+      List<UpstreamLoad> present,
+      boolean canFetch,
+      long nowMillis) {
     List<UpstreamLoad> open = AdmissionFilter.admitting(candidates, nowMillis);
     if (open.isEmpty()) {
       return Optional.empty();
@@ -118,7 +126,7 @@
     List<UpstreamLoad> order = order(prompt, open);
     LoadBound bound =
         prompt.sharedTokens() < CHEAP_PREFILL_TOKENS ? SHORT_PROMPT_BOUND : LONG_PROMPT_BOUND;
-    double maxRequests = bound.maxRequests(open, nowMillis);
+    double maxRequests = bound.maxRequests(present, nowMillis);
     int spread = spread(order, maxRequests, nowMillis);
     if (spread > 1) {
       return spreadOver(order, spread, maxRequests, nowMillis)
@@ -137,16 +145,23 @@
    * engine after the other is used.
    */
   private static int spread(List<UpstreamLoad> order, double maxRequests, long nowMillis) {
+    double all = 0;
+    for (UpstreamLoad engine : order) {
+      all += engine.peakRequests(nowMillis);
+    }
+    double even = all / order.size() * EVEN_LOAD;
     UpstreamLoad home = order.getFirst();
-    if (!home.isSampled() || home.peakRequests(nowMillis) <= maxRequests * BUSY_LOAD) {
+    if (!home.isSampled()
+        || home.peakRequests(nowMillis) <= Math.max(maxRequests * BUSY_LOAD, even)) {
       return 1;
     }
+    double fill = Math.max(maxRequests * SPREAD_LOAD, even);
     double peaks = 0;
     int spread = 0;
     do {
       peaks += order.get(spread).peakRequests(nowMillis);
       spread++;
-    } while (peaks > spread * maxRequests * SPREAD_LOAD && spread < order.size());
+    } while (peaks > spread * fill && spread < order.size());
     return spread;
   }
 
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/EnginePlacementTest.java
@@ -21,7 +21,7 @@
 
   private static UpstreamLoad choose(
       EnginePlacement placement, Prompt prompt, List<UpstreamLoad> engines) {
-    return placement.choose(prompt, engines, true, NOW).orElseThrow();
+    return placement.choose(prompt, engines, engines, true, NOW).orElseThrow();
   }
 
   @Test
@@ -140,7 +140,8 @@
     int sent = 0;
     for (int request = 0; request < 100; request++) {
       var chosen =
-          placement.choose(PlacementFixture.prompt(1, request, request), engines, true, NOW);
+          placement.choose(
+              PlacementFixture.prompt(1, request, request), engines, engines, true, NOW);
       if (chosen.isPresent()) {
         chosen.get().coldAllowance().recordRequest(NOW);
         sent++;
@@ -179,6 +180,21 @@
     assertEquals(spilledTo.size(), 1);
   }
 
+  /** Guards against a bound that rises when engines of the service are taken out. */
+  @Test
+  public void enginesThatReceiveNoRequestsLowerTheBound() {
+    List<UpstreamLoad> present = PlacementFixture.engines(8);
+    List<UpstreamLoad> available = present.subList(0, 4);
+    available.forEach(it -> it.recordReport(10, NOW));
+    EnginePlacement placement = PlacementFixture.placement();
+    Prompt prompt = PlacementFixture.prompt(1, 7, 1);
+    UpstreamLoad home = choose(placement, prompt, available);
+    home.recordReport(17, NOW);
+    assertEquals(choose(placement, prompt, available), home);
+    assertNotEquals(
+        placement.choose(prompt, available, present, true, NOW).orElseThrow().id(), home.id());
+  }
+
   @Test
   public void sessionThatSpillsCanFetchFromItsEngine() {
     PromptIndex index = new PromptIndex();
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/OverloadedEngineFleetTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/OverloadedEngineFleetTest.java
@@ -37,4 +37,30 @@
     assertTrue(
         worst <= MAX_OVERLOADED_SHARE, worst + " of the requests reached overloaded engines");
   }
+
+  /** Numbers of VMs and engines, of engines that are taken out, multiples of traffic, and seeds. */
+  @DataProvider
+  public Object[][] evacuations() {
+    List<Object[]> cases = new ArrayList<>();
+    for (long seed = 1; seed <= 3; seed++) {
+      cases.add(new Object[] {8, 8, 4, 2.5, seed});
+      cases.add(new Object[] {95, 74, 15, 2.0, seed});
+      cases.add(new Object[] {345, 270, 54, 2.0, seed});
+    }
+    return cases.toArray(new Object[0][]);
+  }
+
+  /** Guards against a bound that rises when engines of the service are taken out. */
+  @Test(dataProvider = "evacuations")
+  public void evacuationOverloadsNoEngine(
+      int vms, int engines, int evacuated, double traffic, long seed) {
+    SimulatedFleet fleet = new SimulatedFleet(vms, engines, seed);
+    fleet.traffic(traffic);
+    fleet.play(1_000, 0);
+    fleet.evacuate(evacuated);
+    fleet.play(10_000, 0);
+    double worst = fleet.worstOverloadedShare(WINDOW_MILLIS);
+    assertTrue(
+        worst <= MAX_OVERLOADED_SHARE, worst + " of the requests reached overloaded engines");
+  }
 }
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/SimulatedFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/SimulatedFleet.java
@@ -121,7 +121,10 @@
     }
 
     private void send(Prompt prompt, Kind kind) {
-      UpstreamLoad chosen = placement.choose(prompt, loads, true, now).orElseThrow();
+      UpstreamLoad chosen =
+          placement
+              .choose(prompt, loads.subList(evacuated, loads.size()), loads, true, now)
+              .orElseThrow();
       int engine = loads.indexOf(chosen);
       chosen.recordStart(now);
       final boolean isCached = !cached.get(engine).add(prompt.affinityPart().idHash());
@@ -150,6 +153,8 @@
   private final List<Arrival> arrivals = new ArrayList<>();
   private final double scale;
   private final List<Set<Long>> cached = new ArrayList<>();
+  private int evacuated;
+  private double traffic = 1;
   private int prefilledPrompts;
   private long now;
 
@@ -169,6 +174,16 @@
     return new ZoneId("zone-" + number % ZONES);
   }
 
+  /** Takes the first engines out of service; they still count for the mean. */
+  void evacuate(int engines) {
+    evacuated = engines;
+  }
+
+  /** Sets by how many times more requests arrive than at first. */
+  void traffic(double multiple) {
+    traffic = multiple;
+  }
+
   /**
    * Plays the next seconds.
    *
@@ -187,7 +202,7 @@
         request.vm().loads.get(request.engine()).recordEnd();
       }
       for (Kind kind : KINDS) {
-        double due = kind.perSecond() * scale * TICK_MILLIS / 1_000;
+        double due = kind.perSecond() * scale * traffic * TICK_MILLIS / 1_000;
         for (due += random.nextDouble(); due >= 1; due--) {
           boolean isHot = kind == KINDS.getFirst() && random.nextDouble() < hotShare;
           request(kind, isHot ? 0 : 1 + random.nextInt((int) Math.ceil(kind.sessions() * scale)));
--- a/coordination/src/test/java/org/ragworttide/coordination/placement/StatedAvailabilityTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/placement/StatedAvailabilityTest.java
@@ -224,10 +224,10 @@
       for (int i = 0; i < 2_000 / count + 1; i++) {
         int session = vm + count * i;
         Prompt prompt = PlacementFixture.prompt(session, session, 0);
-        UpstreamLoad home = placement.choose(prompt, engines, true, NOW).orElseThrow();
+        UpstreamLoad home = placement.choose(prompt, engines, engines, true, NOW).orElseThrow();
         if (home == engines.get(0)) {
           home.availability().recordLeaving(NOW);
-          UpstreamLoad next = placement.choose(prompt, engines, true, NOW).orElseThrow();
+          UpstreamLoad next = placement.choose(prompt, engines, engines, true, NOW).orElseThrow();
           taken.merge(next.id(), 1, Integer::sum);
           moved++;
           engines = PlacementFixture.engines(13);
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
@@ -53,7 +53,8 @@
     Optional<UpstreamLoad> chosen =
         prompt.isPresent()
             ? enginePlacement(service)
-                .choose(prompt.get(), loads, canFetchCache(service), nowMillis)
+                .choose(
+                    prompt.get(), loads, presentLoads(service), canFetchCache(service), nowMillis)
             : servicePlacement.choose(loads, nowMillis);
     return chosen.flatMap(load -> candidates.stream().filter(it -> it.load() == load).findFirst());
   }
@@ -113,6 +114,10 @@
     return healthy.isEmpty() ? untried : healthy;
   }
 
+  private List<UpstreamLoad> presentLoads(ServiceName service) {
+    return view.upstreamsOf(service).stream().map(Upstream::load).toList();
+  }
+
   private boolean canFetchCache(ServiceName service) {
     return view.policy(service).filter(ServicePolicy::canFetchCache).isPresent();
   }
