--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -78,8 +78,10 @@
           + " session %s, prompt %s from %s, shared parts %s"),
   /** Lines of an event were omitted to limit the log volume. */
   LINES_LEFT_OUT(7008, Level.INFO, "%s lines of %s omitted"),
+  /** A caller continues a stream that broke off. */
+  STREAM_CONTINUED(7009, Level.INFO, "request %s continues stream of request %s after event %s"),
   /** An upstream was added or changed. */
-  UPSTREAM_PUT(7101, Level.INFO, "upstream %s of %s at %s, draining %s, cold for %s ms"),
+  UPSTREAM_PUT(7101, Level.INFO, "upstream %s of %s version %s at %s, draining %s, cold for %s ms"),
   /** An upstream was removed. */
   UPSTREAM_REMOVED(7102, Level.INFO, "upstream %s removed: %s"),
   /** A zone was taken out of service. */
--- a/gateway/src/main/java/org/ragworttide/gateway/model/UpstreamEntry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/model/UpstreamEntry.java
@@ -1,6 +1,7 @@
 package org.ragworttide.gateway.model;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 
@@ -17,6 +18,7 @@
  * @param draining whether it accepts no new requests because it is about to stop
  * @param coldRemainingMillis remaining milliseconds of its cold start
  * @param startedAtMillis Unix time of its start in milliseconds, 0 if unknown
+ * @param version the version of its software, empty if unknown
  */
 public record UpstreamEntry(
     UpstreamId id,
@@ -26,4 +28,5 @@
     int slots,
     boolean draining,
     long coldRemainingMillis,
-    long startedAtMillis) {}
+    long startedAtMillis,
+    Optional<String> version) {}
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -102,6 +102,10 @@
     service = route.service(Rendezvous.hash(request.metadata().id()));
     suspects =
         new RequestSuspects(request, service, organisation.map(Organisation::name).orElse(""));
+    request
+        .metadata()
+        .continuation()
+        .ifPresent(it -> context.telemetry().recordContinuation(request.metadata().id(), it));
     context.retries().recordRequest(service);
     startDeadlineTimer();
     if (!refuseIfStopping()) {
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
@@ -73,6 +73,16 @@
         sharedParts);
   }
 
+  /** Records that a caller's request continues a stream. */
+  void recordContinuation(String requestId, RequestMetadata.Continuation continuation) {
+    metrics.counter("gateway_streams_continued").inc();
+    log(
+        LogEvent.STREAM_CONTINUED,
+        requestId,
+        continuation.firstRequestId().orElse("unknown"),
+        continuation.lastEventId());
+  }
+
   void recordRefusal(String requestId, Refusal refusal, String cause, long elapsedMillis) {
     metrics.counter("gateway_refused;reason=" + refusal).inc();
     log(LogEvent.RELAY_REFUSED, requestId, refusal, cause, elapsedMillis);
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
@@ -69,6 +69,7 @@
         LogEvent.UPSTREAM_PUT,
         entry.id(),
         entry.service(),
+        entry.version().orElse("unknown"),
         entry.address(),
         entry.draining(),
         entry.coldRemainingMillis());
--- a/gateway/src/test/java/org/ragworttide/gateway/PlainHeaderCodec.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/PlainHeaderCodec.java
@@ -24,6 +24,7 @@
         headers.get("id", ""),
         deadline == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline)),
         headers.get("key", ""),
+        Optional.empty(),
         Optional.empty());
   }
 
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamBytesFuzzTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamBytesFuzzTest.java
@@ -315,7 +315,8 @@
                 8,
                 false,
                 0,
-                0),
+                0,
+                Optional.empty()),
             new PeerLoads(),
             0);
     private final List<Wire> wires = new ArrayList<>();
--- a/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/upstream/UpstreamConnectionTest.java
@@ -17,6 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.ragworttide.coordination.id.UpstreamId;
@@ -73,7 +74,8 @@
                 8,
                 false,
                 0,
-                0),
+                0,
+                Optional.empty()),
             new PeerLoads(),
             0);
     foreign.clear();
--- a/gateway/src/test/java/org/ragworttide/gateway/view/FleetViewUpdaterTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/view/FleetViewUpdaterTest.java
@@ -5,6 +5,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.time.ManualTimerService;
@@ -26,7 +27,7 @@
   private static UpstreamEntry entry(boolean draining, long startedAtMillis) {
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
     return new UpstreamEntry(
-        ID, SERVICE, address, new ZoneId("z"), 8, draining, 0, startedAtMillis);
+        ID, SERVICE, address, new ZoneId("z"), 8, draining, 0, startedAtMillis, Optional.of("v1"));
   }
 
   private static Configuration configuration(long version) {
