--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -74,8 +74,8 @@
   RELAY_PLACED(
       7007,
       Level.INFO,
-      "request %s placed at %s, load %s, own %s, from %s of %s VMs, report of %s ms, of %s upstreams,"
-          + " session %s, prompt %s from %s, shared parts %s"),
+      "request %s placed at %s, load %s, own %s, from %s of %s VMs, report of %s ms,"
+          + " of %s upstreams, session %s, prompt %s from %s, shared parts %s"),
   /** Lines of an event were omitted to limit the log volume. */
   LINES_LEFT_OUT(7008, Level.INFO, "%s lines of %s omitted"),
   /** A caller continues a stream that broke off. */
