--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.ragworttide.gateway.feed.ChangeFeed;
 import org.ragworttide.gateway.feed.FeedAddress;
 import org.ragworttide.gateway.peer.PeerExchange;
+import org.ragworttide.gateway.peer.StreamDirectory;
 import org.ragworttide.gateway.relay.CrashCheck;
 import org.ragworttide.gateway.relay.Placement;
 import org.ragworttide.gateway.relay.RelayContext;
@@ -117,6 +118,7 @@
             placement,
             stopAdmission,
             new CrashCheck(view, connector, placement, time),
+            new StreamDirectory(settings.peers(), settings.seeds(), time),
             new RetryBudgets(settings.retryRatio(), settings.retrySlack()),
             telemetry,
             new SplittableRandom(),
@@ -161,7 +163,7 @@
         loops.onChannelClass(ServerSocketChannel.class, loop),
         loops.onChannelClass(SocketChannel.class, loop),
         settings.peers());
-    new PeerExchange(settings, view, feed, time, context.telemetry().metrics())
+    new PeerExchange(settings, view, feed, context.streams(), time, context.telemetry().metrics())
         .start(loop, loops.onChannelClass(DatagramChannel.class, loop));
     serveReadiness();
     settings.metrics().ifPresent(this::serveMetrics);
--- a/gateway/src/main/java/org/ragworttide/gateway/model/UpstreamEntry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/model/UpstreamEntry.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
+import org.ragworttide.coordination.streams.SoftwareVersion;
 
 /**
  * Entry that an upstream publishes about itself.
@@ -29,4 +30,12 @@
     boolean draining,
     long coldRemainingMillis,
     long startedAtMillis,
-    Optional<String> version) {}
+    Optional<String> version) {
+
+  /** Returns the version that streams of the upstream belong to. */
+  public SoftwareVersion softwareVersion() {
+    return version
+        .map(it -> SoftwareVersion.of(service.value(), it))
+        .orElseGet(() -> SoftwareVersion.unstated(id, startedAtMillis));
+  }
+}
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -18,6 +18,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.ragworttide.coordination.feed.FeedMember;
@@ -101,6 +102,7 @@
   private final Random random = new Random();
   private final ZoneId zone;
   private final ChangeFeed feed;
+  private final StreamDirectory streams;
   private final Counter bytesSent;
   private final Counter bytesReceived;
   private final Map<Long, KnownPeer> peers = new HashMap<>();
@@ -111,6 +113,7 @@
   private final Set<Integer> statedLeaving = new HashSet<>();
   private Channel channel;
   private long sequence;
+  private int bytesSinceBroadcast;
   private long discoveredAtMillis;
   private boolean membersChanged;
 
@@ -126,6 +129,7 @@
    * @param settings this VM, the address on which it listens and addresses of some VMs
    * @param view the VM's view of the fleet
    * @param feed the changes of the store, which receives the known VMs
+   * @param streams the versions that began streams, which VMs tell each other
    * @param time the clock and timers of the event loop
    * @param metrics receives the numbers of bytes
    */
@@ -133,6 +137,7 @@
       GatewaySettings settings,
       FleetView view,
       ChangeFeed feed,
+      StreamDirectory streams,
       TimerService time,
       MetricRegistry metrics) {
     this.bytesSent = metrics.counter("gateway_peer_bytes_sent");
@@ -143,6 +148,7 @@
     this.seeds = settings.seeds();
     this.view = view;
     this.feed = feed;
+    this.streams = streams;
     this.time = time;
     this.discoveredAtMillis = time.nowMillis();
     if (!seeds.stream().allMatch(address::equals)) {
@@ -171,11 +177,23 @@
             .bind(address)
             .syncUninterruptibly()
             .channel();
+    streams.start(this::sendOnce, peers::keySet);
     time.every(PERIOD_MILLIS, this::broadcast);
   }
 
+  /** Sends a datagram that is no statement, whose bytes the next broadcast saves. */
+  private void sendOnce(byte[] message, InetSocketAddress to) {
+    bytesSinceBroadcast += message.length;
+    send(message, to);
+  }
+
   private void receive(byte[] bytes, InetSocketAddress sender) {
     bytesReceived.inc(bytes.length);
+    Optional<StreamMessage> message = StreamMessage.decode(bytes);
+    if (message.isPresent()) {
+      streams.receive(message.get(), sender);
+      return;
+    }
     PeerStatement.decode(bytes)
         .ifPresentOrElse(
             statement -> receive(statement, sender),
@@ -252,8 +270,9 @@
       view.peers().members().set(FeedAddress.number(address), peers.keySet(), now);
     }
     byte[] statement = nextStatement().encode();
-    int maxRecipients =
-        (int) (BYTES_PER_SECOND * PERIOD_MILLIS / MILLIS_PER_SECOND / statement.length);
+    long budgetBytes = BYTES_PER_SECOND * PERIOD_MILLIS / MILLIS_PER_SECOND - bytesSinceBroadcast;
+    bytesSinceBroadcast = 0;
+    int maxRecipients = (int) (budgetBytes / statement.length);
     boolean isDiscovering = now - discoveredAtMillis < DISCOVERY_MILLIS;
     if (peers.size() > SMALL_FLEET_VMS && !isDiscovering) {
       maxRecipients = Math.min(maxRecipients, MAX_SAMPLED_PEERS);
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -20,6 +20,8 @@
 import org.ragworttide.coordination.quarantine.Admission;
 import org.ragworttide.coordination.quarantine.CrashCause;
 import org.ragworttide.coordination.quarantine.CrashSuspicions;
+import org.ragworttide.coordination.streams.SoftwareVersion;
+import org.ragworttide.coordination.streams.StreamId;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.gateway.model.Organisation;
 import org.ragworttide.gateway.model.Route;
@@ -33,6 +35,9 @@
  * Relays one caller's request: checks it, chooses an upstream, sends the attempts and returns the
  * response.
  *
+ * <p>A stream goes on only at upstreams of the software version that began it, within an answer and
+ * over a caller's requests.
+ *
  * <p>Invariants: an exchange ends with exactly one final response or abort; a request that may have
  * run is sent again only if it is repeatable; the caller receives a status that guarantees that the
  * request has not run only if it has not. Confined to the event loop.
@@ -63,6 +68,10 @@
   private final Set<UpstreamId> tried = new HashSet<>();
   private Route route;
   private ServiceName service;
+
+  /** The version at which the stream has to go on, empty until its first event. */
+  private Optional<SoftwareVersion> version = Optional.empty();
+
   private RequestSuspects suspects;
   private Optional<Organisation> organisation = Optional.empty();
   private long deadlineAtMillis = Long.MAX_VALUE;
@@ -99,7 +108,7 @@
       refuse(Refusal.UNKNOWN_KEY, "route " + route.name());
       return;
     }
-    service = route.service(Rendezvous.hash(request.metadata().id()));
+    service = route.service(Rendezvous.hash(firstRequestId()));
     suspects =
         new RequestSuspects(request, service, organisation.map(Organisation::name).orElse(""));
     request
@@ -108,7 +117,55 @@
         .ifPresent(it -> context.telemetry().recordContinuation(request.metadata().id(), it));
     context.retries().recordRequest(service);
     startDeadlineTimer();
-    if (!refuseIfStopping()) {
+    if (refuseIfStopping()) {
+      return;
+    }
+    if (route.kind().isStream() && request.metadata().continuation().isPresent()) {
+      findVersion(request.metadata().continuation().get());
+    } else {
+      place();
+    }
+  }
+
+  /** Returns the id of the caller's request that received the first event of the stream. */
+  private String firstRequestId() {
+    return request
+        .metadata()
+        .continuation()
+        .flatMap(RequestMetadata.Continuation::firstRequestId)
+        .orElse(request.metadata().id());
+  }
+
+  /** Looks up the version that began the stream, at which alone it may go on. */
+  private void findVersion(RequestMetadata.Continuation continuation) {
+    if (continuation.firstRequestId().isEmpty()) {
+      continueAt(soleVersion(), "the caller does not name its stream");
+      return;
+    }
+    String first = continuation.firstRequestId().get();
+    context
+        .streams()
+        .find(
+            StreamId.of(first),
+            known -> {
+              if (!done) {
+                continueAt(
+                    known.or(this::soleVersion), "no VM remembers the stream of request " + first);
+              }
+            });
+  }
+
+  private Optional<SoftwareVersion> soleVersion() {
+    return context
+        .view()
+        .soleVersion(service, context.time().nowMillis(), System.currentTimeMillis());
+  }
+
+  private void continueAt(Optional<SoftwareVersion> known, String causeIfUnknown) {
+    version = known;
+    if (version.isEmpty()) {
+      refuse(Refusal.STREAM_UNKNOWN, causeIfUnknown);
+    } else if (!refuseIfStopping()) {
       place();
     }
   }
@@ -203,8 +260,14 @@
       return;
     }
     Optional<Upstream> chosen =
-        context.placement().choose(service, request.metadata().prompt(), tried, now);
+        context.placement().choose(service, version, request.metadata().prompt(), tried, now);
     if (chosen.isEmpty()) {
+      if (version.isPresent() && !context.view().isPresent(service, version.get())) {
+        refuseOrAbort(
+            Refusal.STREAM_VERSION_GONE,
+            "no upstream of service " + service + " has the stream's version " + version.get());
+        return;
+      }
       if (tried.isEmpty() && context.placement().isLimited(service, now)) {
         refuse(
             Refusal.UPSTREAMS_LIMITED,
@@ -333,6 +396,13 @@
         return;
       }
       sentAtMillis = context.time().nowMillis();
+      if (version.isPresent() && upstream.isRemoved()) {
+        context.telemetry().recordWithheldAttempt();
+        end();
+        connection.cancel();
+        place();
+        return;
+      }
       if (!upstream.load().availability().admitsAsLastResort(sentAtMillis)) {
         context.telemetry().recordWithheldAttempt();
         end();
@@ -465,6 +535,10 @@
         content.release();
         return;
       }
+      if (route.kind().isStream() && isSuccess() && version.isEmpty()) {
+        version = Optional.of(upstream.entry().softwareVersion());
+        context.streams().record(StreamId.of(request.metadata().id()), version.get());
+      }
       if (answerBegunAtMillis.isEmpty()) {
         answerBegunAtMillis = OptionalLong.of(context.time().nowMillis());
       }
@@ -612,6 +686,9 @@
     private void handleFailure(String reason) {
       recordOutcome(false, reason);
       response.reset();
+      if (!response.isBegun() && request.metadata().continuation().isEmpty()) {
+        version = Optional.empty();
+      }
       if (canRetry()) {
         place();
       } else {
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
@@ -15,6 +15,7 @@
 import org.ragworttide.coordination.placement.Prompt;
 import org.ragworttide.coordination.placement.ServicePlacement;
 import org.ragworttide.coordination.placement.UpstreamLoad;
+import org.ragworttide.coordination.streams.SoftwareVersion;
 import org.ragworttide.gateway.model.ServiceName;
 import org.ragworttide.gateway.model.ServicePolicy;
 import org.ragworttide.gateway.upstream.Upstream;
@@ -23,8 +24,9 @@
 /**
  * Chooses the upstream of a request from the VM's view of the fleet.
  *
- * <p>Invariant: it never chooses an upstream that is draining, in an evacuated availability zone or
- * already tried. Confined to the event loop.
+ * <p>Invariant: it never chooses an upstream that is in an evacuated availability zone, already
+ * tried or of another version than a stream that is continued; nor one that is draining, unless
+ * only upstreams that have just begun to drain can continue the stream. Confined to the event loop.
  */
 public final class Placement {
   private final FleetView view;
@@ -46,9 +48,18 @@
     return outlierDetectors.computeIfAbsent(service, name -> new OutlierDetector());
   }
 
+  /**
+   * Chooses an upstream.
+   *
+   * @param version the version that began the stream, empty if any upstream may serve the request
+   */
   Optional<Upstream> choose(
-      ServiceName service, Optional<Prompt> prompt, Set<UpstreamId> tried, long nowMillis) {
-    List<Upstream> candidates = candidates(service, tried, nowMillis);
+      ServiceName service,
+      Optional<SoftwareVersion> version,
+      Optional<Prompt> prompt,
+      Set<UpstreamId> tried,
+      long nowMillis) {
+    List<Upstream> candidates = candidates(service, version, tried, nowMillis);
     List<UpstreamLoad> loads = candidates.stream().map(Upstream::load).toList();
     Optional<UpstreamLoad> chosen =
         prompt.isPresent()
@@ -99,11 +110,15 @@
     prompt.ifPresent(it -> view.prompts().recordSentPrompt(it, upstream.load(), nowMillis));
   }
 
-  private List<Upstream> candidates(ServiceName service, Set<UpstreamId> tried, long nowMillis) {
+  private List<Upstream> candidates(
+      ServiceName service,
+      Optional<SoftwareVersion> version,
+      Set<UpstreamId> tried,
+      long nowMillis) {
     OutlierDetector detector = outlierDetector(service);
     List<Upstream> untried = new ArrayList<>();
     List<Upstream> healthy = new ArrayList<>();
-    for (Upstream upstream : view.availableUpstreams(service)) {
+    for (Upstream upstream : admitted(service, version, nowMillis)) {
       if (!tried.contains(upstream.entry().id())) {
         untried.add(upstream);
         if (!detector.isEjected(upstream.entry().id(), nowMillis)) {
@@ -114,6 +129,28 @@
     return healthy.isEmpty() ? untried : healthy;
   }
 
+  /**
+   * Returns the available upstreams that may serve the request; for a stream whose version no
+   * available one has, those that have just begun to drain.
+   */
+  private List<Upstream> admitted(
+      ServiceName service, Optional<SoftwareVersion> version, long nowMillis) {
+    List<Upstream> available = view.availableUpstreams(service);
+    if (version.isEmpty()) {
+      return available;
+    }
+    List<Upstream> ofVersion = available.stream().filter(it -> isOf(version.get(), it)).toList();
+    return ofVersion.isEmpty()
+        ? view.servingUpstreams(service).stream()
+            .filter(it -> isOf(version.get(), it) && it.admitsAsLastResort(nowMillis))
+            .toList()
+        : ofVersion;
+  }
+
+  private static boolean isOf(SoftwareVersion version, Upstream upstream) {
+    return upstream.entry().softwareVersion().equals(version);
+  }
+
   private List<UpstreamLoad> presentLoads(ServiceName service) {
     return view.upstreamsOf(service).stream().map(Upstream::load).toList();
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Refusal.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Refusal.java
@@ -19,6 +19,13 @@
   UNKNOWN_KEY(HttpResponseStatus.UNAUTHORIZED),
   /** The request is quarantined, because upstreams crashed while running it. */
   HELD_BACK(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  /**
+   * The request continues a stream and no VM that was reached remembers the version that began it,
+   * or the caller does not name the stream; several versions may have begun it.
+   */
+  STREAM_UNKNOWN(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  /** The request continues a stream, and no upstream of the version that began it is present. */
+  STREAM_VERSION_GONE(HttpResponseStatus.SERVICE_UNAVAILABLE),
   /** The service has no available upstream. */
   NO_UPSTREAM(HttpResponseStatus.SERVICE_UNAVAILABLE),
   /** Every available upstream wants no request now, and at least one because of its limit. */
@@ -46,6 +53,9 @@
 
   /** Returns whether the caller may send the request again. */
   boolean isRetryable() {
-    return this != HELD_BACK && status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    return switch (this) {
+      case HELD_BACK, STREAM_UNKNOWN, STREAM_VERSION_GONE -> false;
+      default -> status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    };
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
@@ -5,6 +5,7 @@
 import org.ragworttide.coordination.admission.StopAdmission;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.gateway.HeaderCodec;
+import org.ragworttide.gateway.peer.StreamDirectory;
 import org.ragworttide.gateway.upstream.UpstreamConnector;
 import org.ragworttide.gateway.view.FleetView;
 
@@ -21,6 +22,7 @@
  * @param placement chooses upstreams
  * @param stopAdmission decides which requests may be passed on while the VM is being stopped
  * @param crashCheck finds out whether upstreams have crashed
+ * @param streams the versions that began streams
  * @param retries limits retries
  * @param telemetry updates metrics and logs events
  * @param random randomizes the delays after which refused callers may retry
@@ -35,6 +37,7 @@
     Placement placement,
     StopAdmission stopAdmission,
     CrashCheck crashCheck,
+    StreamDirectory streams,
     RetryBudgets retries,
     Telemetry telemetry,
     SplittableRandom random,
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
@@ -20,15 +20,23 @@
  * loop.
  */
 public final class Upstream {
+  /**
+   * Milliseconds after an upstream was seen draining in which it receives requests that nobody else
+   * can serve: half of the shortest time in which the users' upstreams still accept requests.
+   */
+  private static final long DRAINING_LAST_RESORT_MILLIS = 1_000;
+
   private final UpstreamLoad load;
   private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
   private UpstreamEntry entry;
   private boolean loggedUnreadable;
   private boolean closed;
+  private long drainingSinceMillis;
 
   /** Creates an upstream without connections. */
   public Upstream(UpstreamEntry entry, PeerLoads peers, long nowMillis) {
     this.entry = entry;
+    this.drainingSinceMillis = entry.draining() ? Long.MIN_VALUE / 2 : nowMillis;
     this.load =
         new UpstreamLoad(entry.id(), entry.zone(), entry.slots(), entry.startedAtMillis(), peers);
     load.coldAllowance().setColdUntil(nowMillis + entry.coldRemainingMillis());
@@ -55,11 +63,25 @@
   public boolean isSameIncarnation(UpstreamEntry other) {
     return other.service().equals(entry.service())
         && other.address().equals(entry.address())
+        && other.version().equals(entry.version())
         && (other.startedAtMillis() == entry.startedAtMillis() || other.startedAtMillis() == 0);
   }
 
+  /** Returns whether the upstream accepts requests, or is draining since a moment ago. */
+  public boolean admitsAsLastResort(long nowMillis) {
+    return !entry.draining() || nowMillis - drainingSinceMillis < DRAINING_LAST_RESORT_MILLIS;
+  }
+
+  /** Returns whether the upstream has been removed or replaced by another incarnation. */
+  public boolean isRemoved() {
+    return closed;
+  }
+
   /** Updates the upstream from a newer entry of the same incarnation. */
   public void update(UpstreamEntry newer, long nowMillis) {
+    if (newer.draining() && !entry.draining()) {
+      drainingSinceMillis = nowMillis;
+    }
     entry = newer;
     load.slots(newer.slots());
     load.coldAllowance().setColdUntil(nowMillis + newer.coldRemainingMillis());
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -25,6 +25,8 @@
 import org.ragworttide.coordination.quarantine.CrashSuspicions;
 import org.ragworttide.coordination.quarantine.Suspect;
 import org.ragworttide.coordination.quarantine.SuspicionStatement;
+import org.ragworttide.coordination.streams.SoftwareVersion;
+import org.ragworttide.coordination.streams.VersionHistory;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
 import org.ragworttide.gateway.model.CallerLimits;
@@ -52,6 +54,8 @@
   private final Map<Integer, Upstream> byIncarnation = new HashMap<>();
   private final Map<ServiceName, List<Upstream>> byService = new HashMap<>();
 
+  private final Map<ServiceName, VersionHistory> histories = new HashMap<>();
+
   /** Removed upstreams that had stated something, whose entries may be published again. */
   private final Map<UpstreamId, Upstream> removedStated =
       new LinkedHashMap<>() {
@@ -118,6 +122,9 @@
     upstreams.put(entry.id(), added);
     byIncarnation.put(added.incarnationKey(), added);
     byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(added);
+    histories
+        .computeIfAbsent(entry.service(), name -> new VersionHistory(nowMillis))
+        .recordPresent(entry.softwareVersion());
   }
 
   /** Removes an upstream whose entry was deleted or belongs to an earlier incarnation. */
@@ -126,6 +133,9 @@
     if (removed != null) {
       byIncarnation.remove(removed.incarnationKey(), removed);
       byService.get(removed.entry().service()).remove(removed);
+      histories
+          .get(removed.entry().service())
+          .recordGone(removed.entry().softwareVersion(), nowMillis);
       if (removed.load().availability().isStated(nowMillis)) {
         removedStated.put(id, removed);
       }
@@ -307,14 +317,48 @@
     return List.copyOf(byService.getOrDefault(service, List.of()));
   }
 
+  /** Returns whether an upstream of the service has the version, also one that is draining. */
+  public boolean isPresent(ServiceName service, SoftwareVersion version) {
+    VersionHistory history = histories.get(service);
+    return history != null && history.isPresent(version);
+  }
+
+  /**
+   * Returns the version that has begun every stream of the service that may still be continued,
+   * empty if there may be several.
+   *
+   * @param nowMillis the time
+   * @param unixMillis the Unix time in milliseconds, with which the starts of upstreams are
+   *     compared
+   */
+  public Optional<SoftwareVersion> soleVersion(
+      ServiceName service, long nowMillis, long unixMillis) {
+    VersionHistory history = histories.get(service);
+    if (history == null) {
+      return Optional.empty();
+    }
+    long newestStartMillis = 0;
+    for (Upstream upstream : upstreamsOf(service)) {
+      long startedAtMillis = upstream.entry().startedAtMillis();
+      newestStartMillis =
+          Math.max(newestStartMillis, startedAtMillis == 0 ? unixMillis : startedAtMillis);
+    }
+    return history.sole(unixMillis - newestStartMillis, nowMillis);
+  }
+
   /** Returns the upstreams of the service that accept new requests. */
   public List<Upstream> availableUpstreams(ServiceName service) {
-    List<Upstream> available = new ArrayList<>();
+    return servingUpstreams(service).stream().filter(it -> !it.entry().draining()).toList();
+  }
+
+  /** Returns the upstreams of the service outside evacuated availability zones. */
+  public List<Upstream> servingUpstreams(ServiceName service) {
+    List<Upstream> serving = new ArrayList<>();
     for (Upstream upstream : byService.getOrDefault(service, List.of())) {
-      if (!upstream.entry().draining() && !evacuatedZones.contains(upstream.entry().zone())) {
-        available.add(upstream);
+      if (!evacuatedZones.contains(upstream.entry().zone())) {
+        serving.add(upstream);
       }
     }
-    return available;
+    return serving;
   }
 }
