--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -25,6 +25,7 @@
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.gateway.model.Organisation;
 import org.ragworttide.gateway.model.Route;
+import org.ragworttide.gateway.model.RouteKind;
 import org.ragworttide.gateway.model.ServiceName;
 import org.ragworttide.gateway.upstream.AttemptListener;
 import org.ragworttide.gateway.upstream.ConnectFailure;
@@ -535,7 +536,7 @@
         content.release();
         return;
       }
-      if (route.kind().isStream() && isSuccess() && version.isEmpty()) {
+      if (isSuccess() && version.isEmpty() && route.kind() == RouteKind.RESUMABLE_STREAM) {
         version = Optional.of(upstream.entry().softwareVersion());
         context.streams().record(StreamId.of(request.metadata().id()), version.get());
       }
