Look at the mean load only where loads are known late

The peaks of all engines were summed for each placement, also in small fleets, which never share sessions this way.

--- a/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/placement/EnginePlacement.java
@@ -145,14 +145,12 @@
    * engine after the other is used.
    */
   private static int spread(List<UpstreamLoad> order, double maxRequests, long nowMillis) {
-    double all = 0;
-    for (UpstreamLoad engine : order) {
-      all += engine.peakRequests(nowMillis);
-    }
-    double even = all / order.size() * EVEN_LOAD;
     UpstreamLoad home = order.getFirst();
-    if (!home.isSampled()
-        || home.peakRequests(nowMillis) <= Math.max(maxRequests * BUSY_LOAD, even)) {
+    if (!home.isSampled()) {
+      return 1;
+    }
+    double even = meanPeak(order, nowMillis) * EVEN_LOAD;
+    if (home.peakRequests(nowMillis) <= Math.max(maxRequests * BUSY_LOAD, even)) {
       return 1;
     }
     double fill = Math.max(maxRequests * SPREAD_LOAD, even);
@@ -165,6 +163,14 @@
     return spread;
   }
 
+  private static double meanPeak(List<UpstreamLoad> engines, long nowMillis) {
+    double sum = 0;
+    for (UpstreamLoad engine : engines) {
+      sum += engine.peakRequests(nowMillis);
+    }
+    return sum / engines.size();
+  }
+
   /**
    * Chooses at random from the first engines in the order, in proportion to their room. VMs that
    * learn late of each other's requests would fill one engine after the other if all chose the one
