--- a/review/standins-2/org/ragworttide/review/Requests.java
+++ b/review/standins-2/org/ragworttide/review/Requests.java
@@ -28,12 +28,23 @@
   private final Fleet fleet;
   private final Supplier<String> ids;
   private final int deadlineMillis;
+  private final Supplier<String> moreHeaders;
   private final Map<Integer, Deque<Kept>> resting = new HashMap<>();
   private final List<Outcome> outcomes = new ArrayList<>();
   private final List<Thread> threads = new ArrayList<>();
   private volatile boolean stopped;
 
   Requests(Journal journal, Fleet fleet, Supplier<String> ids, int deadlineMillis) {
+    this(journal, fleet, ids, deadlineMillis, () -> "");
+  }
+
+  Requests(
+      Journal journal,
+      Fleet fleet,
+      Supplier<String> ids,
+      int deadlineMillis,
+      Supplier<String> moreHeaders) {
+    this.moreHeaders = moreHeaders;
     this.journal = journal;
     this.fleet = fleet;
     this.ids = ids;
@@ -138,7 +149,9 @@
             + deadlineMillis
             + "\r\nAuthorization: Token "
             + Case.KEY
-            + "\r\nContent-Length: "
+            + "\r\n"
+            + moreHeaders.get()
+            + "Content-Length: "
             + body.length
             + "\r\n\r\n");
     kept.socket().getOutputStream().write(body);
