Review, case 6 anew: bookings run twice after additional bytes of a server (TWICE)

The cause: a refusal without an id is taken for the answer to the request in flight. Ruled out: bytes with an id, which are skipped.

--- a/review/standins-2/org/ragworttide/review/Main.java
+++ b/review/standins-2/org/ragworttide/review/Main.java
@@ -30,6 +30,7 @@
       case "upload" -> new UploadCase(root, folder, trouble);
       case "cold" -> new ColdCase(root, folder, trouble);
       case "alone" -> new AloneCase(root, folder, trouble);
+      case "extra" -> new ExtraCase(root, folder, trouble);
       case "roll" -> new RollCase(root, folder, trouble);
       case "limit" -> new LimitCase(root, folder, trouble);
       default -> throw new IllegalArgumentException("no case " + name);
