--- a/review/standins-2/org/ragworttide/review/Case.java
+++ b/review/standins-2/org/ragworttide/review/Case.java
@@ -39,7 +39,8 @@
   abstract boolean play() throws Exception;
 
   /** Starts a server. */
-  Upstream server(String ip, String id, String service, int zone, String version, Upstream.Work work)
+  Upstream server(
+      String ip, String id, String service, int zone, String version, Upstream.Work work)
       throws Exception {
     Upstream upstream = new Upstream(journal, ip, id, service, zone(zone), version, work);
     opened.add(upstream);
