--- a/review/standins-2/org/ragworttide/review/AloneCase.java
+++ b/review/standins-2/org/ragworttide/review/AloneCase.java
@@ -60,7 +60,7 @@
         "pool",
         route(
             "triage",
-            "/work/",
+            "/desk/",
             "pool",
             "\"kind\":\"streaming\",\"timeoutMs\":3000,\"targetLatencyMs\":600,"
                 + "\"maxAttempts\":2,\"sticky\":true,\"resumable\":true,\"gapTargetMs\":400"));
--- a/review/standins-2/org/ragworttide/review/ColdCase.java
+++ b/review/standins-2/org/ragworttide/review/ColdCase.java
@@ -54,7 +54,7 @@
         "desk",
         route(
             "booking",
-            "/work/",
+            "/desk/",
             "desk",
             "\"kind\":\"unsafe\",\"timeoutMs\":1500,\"targetLatencyMs\":300,\"maxAttempts\":1"));
     long bornMillis = System.currentTimeMillis() - TimeUnit.HOURS.toMillis(1);
--- a/review/standins-2/org/ragworttide/review/LimitCase.java
+++ b/review/standins-2/org/ragworttide/review/LimitCase.java
@@ -29,7 +29,7 @@
         "desk",
         route(
             "lookup",
-            "/work/",
+            "/desk/",
             "desk",
             "\"kind\":\"safe\",\"timeoutMs\":1500,\"targetLatencyMs\":300,\"maxAttempts\":2"));
     long bornMillis = System.currentTimeMillis() - TimeUnit.HOURS.toMillis(1);
--- a/review/standins-2/org/ragworttide/review/Requests.java
+++ b/review/standins-2/org/ragworttide/review/Requests.java
@@ -137,7 +137,7 @@
   private int exchange(Kept kept, String id, byte[] body, int machine) throws IOException {
     Io.write(
         kept.socket().getOutputStream(),
-        "POST /work/booking HTTP/1.1\r\nHost: "
+        "POST /desk/booking HTTP/1.1\r\nHost: "
             + Case.HOST
             + "\r\n"
             + Wire.name("requestId")
--- a/review/standins-2/org/ragworttide/review/RollCase.java
+++ b/review/standins-2/org/ragworttide/review/RollCase.java
@@ -40,7 +40,7 @@
         "pool",
         route(
             "chat",
-            "/work/",
+            "/desk/",
             "pool",
             "\"kind\":\"streaming\",\"timeoutMs\":15000,\"targetLatencyMs\":500,"
                 + "\"maxAttempts\":2,\"sticky\":true,\"resumable\":true,\"gapTargetMs\":400"));
--- a/review/standins-2/org/ragworttide/review/StreamCaller.java
+++ b/review/standins-2/org/ragworttide/review/StreamCaller.java
@@ -92,7 +92,7 @@
   private void attempt(Socket channel, String id, long leftMillis, int machine) throws IOException {
     boolean continues = !events.isEmpty();
     String request =
-        "POST /work/chat HTTP/1.1\r\nHost: "
+        "POST /desk/chat HTTP/1.1\r\nHost: "
             + Case.HOST
             + "\r\n"
             + Wire.name("requestId")
--- a/review/standins-2/org/ragworttide/review/UploadCase.java
+++ b/review/standins-2/org/ragworttide/review/UploadCase.java
@@ -44,7 +44,7 @@
     configure(
         7,
         "desk",
-        route("booking", "/work/", "desk", unsafe + TIMEOUT_MILLIS),
+        route("booking", "/desk/", "desk", unsafe + TIMEOUT_MILLIS),
         route("manual", "/upload/", "desk", unsafe + UPLOAD_DEADLINE_MILLIS));
     long bornMillis = System.currentTimeMillis() - TimeUnit.HOURS.toMillis(1);
     for (int i = 0; i < 3; i++) {
--- a/review/standins-2/org/ragworttide/review/VersionsCase.java
+++ b/review/standins-2/org/ragworttide/review/VersionsCase.java
@@ -29,7 +29,7 @@
         "pool",
         route(
             "chat",
-            "/work/",
+            "/desk/",
             "pool",
             "\"kind\":\"streaming\",\"timeoutMs\":15000,\"targetLatencyMs\":500,"
                 + "\"maxAttempts\":2,\"sticky\":true,\"resumable\":true,\"gapTargetMs\":400"));
