Ask the store what was before a VM's start before a stream nobody remembers goes on (ORDER)

Cause: VersionHistory.sole took the start of the newest present upstream for the time since which only its version serves. That tells when the present version came and not when another one went: entries that were removed a moment before the kill, and upstreams that serve on without an entry, leave no trace in it. The same rule refused streams of a service that has had one version all the time if an upstream had been added lately.

Change: a VM answers for a time only if it has observed the service in it, or if the store tells. Each write and deletion takes a revision of its own: if all revisions since an upstream that started long enough ago belong to items that are listed as they were written, nothing has gone (StoreListing, no call). Otherwise one watch from that revision returns what has (one call per VM, only when a stream is asked for that nobody remembers). History that is gone (410), a later era, or a missing mark: not known, so refused.

--- /dev/null
+++ b/coordination/src/main/java/org/ragworttide/coordination/streams/SoleVersion.java
@@ -0,0 +1,22 @@
+package org.ragworttide.coordination.streams;
+
+/**
+ * Answer to the question which version has begun every stream of a service that may still be
+ * continued. Immutable, safe for use by any thread.
+ */
+public sealed interface SoleVersion {
+
+  /** Only this version can have begun such a stream. */
+  record Known(SoftwareVersion version) implements SoleVersion {}
+
+  /** More than one version can have begun such a stream, or none that is present. */
+  record Several() implements SoleVersion {}
+
+  /**
+   * All known upstreams have one version, but those of another may have gone before the VM began to
+   * observe the service.
+   *
+   * @param sinceMillis the time from which on the VM would have to know all versions, on its clock
+   */
+  record Unobserved(long sinceMillis) implements SoleVersion {}
+}
--- a/coordination/src/test/java/org/ragworttide/coordination/streams/StreamVersionsTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/streams/StreamVersionsTest.java
@@ -1,6 +1,7 @@
 package org.ragworttide.coordination.streams;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 
 import java.util.Optional;
 import org.testng.annotations.Test;
@@ -29,51 +30,98 @@
     assertEquals(versions.find(STREAM, 2), Optional.of(NEW));
   }
 
+  private static void assertSole(SoftwareVersion version, SoleVersion sole) {
+    assertEquals(sole, new SoleVersion.Known(version));
+  }
+
+  private static void assertNotSole(SoleVersion sole) {
+    assertFalse(sole instanceof SoleVersion.Known, sole.toString());
+  }
+
   @Test
   public void versionIsSoleWhileAllUpstreamsHaveIt() {
-    VersionHistory history = new VersionHistory(0);
+    VersionHistory history = new VersionHistory(-LIFETIME - 1);
     history.recordPresent(OLD);
     history.recordPresent(OLD);
-    assertEquals(history.sole(LIFETIME, LIFETIME + 1, 0), Optional.of(OLD));
+    assertSole(OLD, history.sole(LIFETIME, 0));
     history.recordPresent(NEW);
-    assertEquals(history.sole(LIFETIME, LIFETIME + 1, 0), Optional.empty());
+    assertNotSole(history.sole(LIFETIME, 0));
   }
 
   @Test
   public void versionIsNotSoleSoonAfterAnotherIsGone() {
-    VersionHistory history = new VersionHistory(0);
+    VersionHistory history = new VersionHistory(-LIFETIME - 1);
     history.recordPresent(OLD);
     history.recordPresent(NEW);
     history.recordGone(OLD, 10);
-    assertEquals(history.sole(LIFETIME, LIFETIME + 1, LIFETIME + 10), Optional.empty());
-    assertEquals(history.sole(LIFETIME, 0, LIFETIME + 11), Optional.of(NEW));
+    assertNotSole(history.sole(LIFETIME, LIFETIME + 10));
+    assertSole(NEW, history.sole(LIFETIME, LIFETIME + 11));
   }
 
-  /** Guards against VMs that take the versions since their start for all. */
+  /** Guards against VMs that take the versions since their start for all, however old they are. */
   @Test
-  public void versionWithNewUpstreamsIsNotSoleForVmThatHasJustStarted() {
+  public void versionIsNotSoleForVmThatHasJustStarted() {
     VersionHistory history = new VersionHistory(0);
     history.recordPresent(NEW);
-    assertEquals(history.sole(LIFETIME, LIFETIME, 1_000), Optional.empty());
-    assertEquals(history.sole(LIFETIME, LIFETIME + 1, 1_000), Optional.of(NEW));
-    assertEquals(history.sole(LIFETIME, 0, LIFETIME + 1), Optional.of(NEW));
+    assertEquals(history.sole(LIFETIME, 1_000), new SoleVersion.Unobserved(1_000 - LIFETIME));
+    assertNotSole(history.sole(LIFETIME, LIFETIME));
+    assertSole(NEW, history.sole(LIFETIME, LIFETIME + 1));
+  }
+
+  @Test
+  public void versionIsSoleForVmThatHasJustStartedAndKnowsThePast() {
+    VersionHistory history = new VersionHistory(0);
+    history.recordPresent(NEW);
+    history.extendObservation(1_000 - LIFETIME);
+    assertNotSole(history.sole(LIFETIME, 1_000));
+    assertSole(NEW, history.sole(LIFETIME, 1_001));
+  }
+
+  /** Guards against streams joined with those of a version that went before the VM's start. */
+  @Test
+  public void versionOfThePastCountsLikeOneThatIsGone() {
+    VersionHistory history = new VersionHistory(-LIFETIME - 1);
+    history.recordPresent(NEW);
+    history.recordEarlier(NEW, 0);
+    assertSole(NEW, history.sole(LIFETIME, 0));
+    history.recordEarlier(OLD, 0);
+    assertNotSole(history.sole(LIFETIME, LIFETIME));
+    assertSole(NEW, history.sole(LIFETIME, LIFETIME + 1));
+  }
+
+  @Test
+  public void versionIsNotSoleSoonAfterAnUnknownUpstreamIsGone() {
+    VersionHistory history = new VersionHistory(-LIFETIME - 1);
+    history.recordPresent(NEW);
+    history.recordUnknownGone(0);
+    assertNotSole(history.sole(LIFETIME, LIFETIME));
+    assertSole(NEW, history.sole(LIFETIME, LIFETIME + 1));
+  }
+
+  @Test
+  public void versionIsNotSoleSoonAfterChangesWereMissed() {
+    VersionHistory history = new VersionHistory(-LIFETIME - 1);
+    history.recordPresent(NEW);
+    assertSole(NEW, history.sole(LIFETIME, 0));
+    history.restartObservation(0);
+    assertNotSole(history.sole(LIFETIME, LIFETIME));
+    assertSole(NEW, history.sole(LIFETIME, LIFETIME + 1));
   }
 
   @Test
   public void serviceWithoutUpstreamsHasNoSoleVersion() {
-    assertEquals(
-        new VersionHistory(0).sole(LIFETIME, LIFETIME + 1, LIFETIME + 1), Optional.empty());
+    assertNotSole(new VersionHistory(0).sole(LIFETIME, LIFETIME + 1));
   }
 
   /** Guards against refusals for longer than a stream of the route can last. */
   @Test
-  public void streamsOfShortRoutesGoOnSoonAfterTheStartOfTheNewestUpstream() {
+  public void streamsOfShortRoutesGoOnSoonAfterTheStartOfTheVm() {
     VersionHistory history = new VersionHistory(0);
     history.recordPresent(NEW);
-    assertEquals(history.sole(8_000, 8_000, 1_000), Optional.empty());
-    assertEquals(history.sole(8_000, 8_001, 1_000), Optional.of(NEW));
-    assertEquals(history.sole(8_000, 0, 8_001), Optional.of(NEW));
-    assertEquals(history.sole(Long.MAX_VALUE, LIFETIME, 1_000), Optional.empty());
+    assertNotSole(history.sole(8_000, 8_000));
+    assertSole(NEW, history.sole(8_000, 8_001));
+    assertNotSole(history.sole(Long.MAX_VALUE, LIFETIME));
+    assertSole(NEW, history.sole(Long.MAX_VALUE, LIFETIME + 1));
   }
 
   @Test
@@ -82,7 +130,7 @@
     history.recordPresent(OLD);
     history.recordPresent(NEW);
     history.recordGone(OLD, 10_000);
-    assertEquals(history.sole(8_000, 0, 18_000), Optional.empty());
-    assertEquals(history.sole(8_000, 0, 18_001), Optional.of(NEW));
+    assertNotSole(history.sole(8_000, 18_000));
+    assertSole(NEW, history.sole(8_000, 18_001));
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -27,6 +27,7 @@
 import org.ragworttide.gateway.relay.Placement;
 import org.ragworttide.gateway.relay.RelayContext;
 import org.ragworttide.gateway.relay.RetryBudgets;
+import org.ragworttide.gateway.relay.SoleVersionLookup;
 import org.ragworttide.gateway.relay.Telemetry;
 import org.ragworttide.gateway.relay.ZoneTraffic;
 import org.ragworttide.gateway.relay.ZoneWatch;
@@ -127,6 +128,7 @@
             traffic,
             new CrashCheck(view, connector, placement, zones, time),
             new StreamDirectory(settings.peers(), settings.seeds(), time),
+            new SoleVersionLookup(view, feed, time, System::currentTimeMillis),
             new ColdStarts(settings.peers(), view, time),
             new RetryBudgets(settings.retryRatio(), settings.retrySlack()),
             telemetry,
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
@@ -8,6 +8,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.ragworttide.coordination.feed.Change;
 import org.ragworttide.coordination.feed.ChangeBatch;
@@ -18,6 +19,7 @@
 import org.ragworttide.coordination.feed.ItemRules;
 import org.ragworttide.coordination.feed.RetainedChange;
 import org.ragworttide.coordination.feed.StorePosition;
+import org.ragworttide.coordination.streams.StoreListing;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -125,6 +127,25 @@
     controller.recordStoreFailure();
   }
 
+  /**
+   * Reads the changes after a revision of the known era, which this VM has passed already, and
+   * passes them to the listener as changes of the past.
+   *
+   * @param mark the revision
+   * @param outcome receives the outcome after the listener
+   */
+  public void readPast(StoreListing.Mark mark, Consumer<ReadOutcome> outcome) {
+    reader.read(
+        new StorePosition(log.position().era(), mark.revision()),
+        answer -> {
+          if (answer instanceof ReadOutcome.Changes past) {
+            listener.recordPast(
+                past.batch().changes(), past.rewrittenKeys(), mark.beforeUnixMillis());
+          }
+          outcome.accept(answer);
+        });
+  }
+
   private void apply(ChangeBatch batch) {
     boolean isEmpty = !batch.listing() && batch.changes().isEmpty();
     if (!log.follows(batch) && !isEmpty) {
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/StoreReader.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/StoreReader.java
@@ -1,5 +1,8 @@
 package org.ragworttide.gateway.feed;
 
+import java.util.function.Consumer;
+import org.ragworttide.coordination.feed.StorePosition;
+
 /** Reads the store and passes its answers to the {@link ChangeFeed}. Called on the event loop. */
 public interface StoreReader {
 
@@ -8,4 +11,11 @@
 
   /** Reads the changes after the known revision once. */
   void catchUp();
+
+  /**
+   * Reads the changes after a position once, beside any other call, without passing them on.
+   *
+   * @param outcome receives the answer
+   */
+  void read(StorePosition after, Consumer<ReadOutcome> outcome);
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
@@ -26,6 +26,7 @@
  * @param traffic the share of requests that leaves the availability zone
  * @param crashCheck finds out whether upstreams have crashed
  * @param streams the versions that began streams
+ * @param soleVersions finds the versions of streams that no VM remembers
  * @param coldStarts permits requests to cold upstreams
  * @param retries limits retries
  * @param telemetry updates metrics and logs events
@@ -44,6 +45,7 @@
     ZoneTraffic traffic,
     CrashCheck crashCheck,
     StreamDirectory streams,
+    SoleVersionLookup soleVersions,
     ColdStarts coldStarts,
     RetryBudgets retries,
     Telemetry telemetry,
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/StreamPin.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/StreamPin.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.ragworttide.coordination.streams.SoftwareVersion;
+import org.ragworttide.coordination.streams.SoleVersion;
 import org.ragworttide.coordination.streams.StreamId;
 import org.ragworttide.gateway.model.Route;
 import org.ragworttide.gateway.model.ServiceName;
@@ -33,7 +34,7 @@
       RequestMetadata.Continuation continuation,
       BiConsumer<Optional<SoftwareVersion>, String> found) {
     if (continuation.firstRequestId().isEmpty()) {
-      found.accept(soleVersion(), "the caller does not name its stream");
+      findSole("the caller does not name its stream", found);
       return;
     }
     String first = continuation.firstRequestId().get();
@@ -41,16 +42,31 @@
         .streams()
         .find(
             StreamId.of(first),
-            known ->
-                found.accept(
-                    known.or(this::soleVersion), "no VM remembers the stream of request " + first));
+            known -> {
+              if (known.isPresent()) {
+                found.accept(known, "");
+              } else {
+                findSole("no VM remembers the stream of request " + first, found);
+              }
+            });
   }
 
-  private Optional<SoftwareVersion> soleVersion() {
-    return context
-        .view()
-        .soleVersion(
-            service, streamMillis(), context.time().nowMillis(), System.currentTimeMillis());
+  private void findSole(String cause, BiConsumer<Optional<SoftwareVersion>, String> found) {
+    context
+        .soleVersions()
+        .find(
+            service,
+            streamMillis(),
+            sole -> {
+              switch (sole) {
+                case SoleVersion.Known known -> found.accept(Optional.of(known.version()), "");
+                case SoleVersion.Several several ->
+                    found.accept(Optional.empty(), cause + ", several versions can have begun it");
+                case SoleVersion.Unobserved unobserved ->
+                    found.accept(
+                        Optional.empty(), cause + ", the versions of its time are not known");
+              }
+            });
   }
 
   /**
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -26,6 +26,8 @@
 import org.ragworttide.coordination.quarantine.Suspect;
 import org.ragworttide.coordination.quarantine.SuspicionStatement;
 import org.ragworttide.coordination.streams.SoftwareVersion;
+import org.ragworttide.coordination.streams.SoleVersion;
+import org.ragworttide.coordination.streams.StoreListing;
 import org.ragworttide.coordination.streams.VersionHistory;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -55,6 +57,7 @@
   private final Map<ServiceName, List<Upstream>> byService = new HashMap<>();
 
   private final Map<ServiceName, VersionHistory> histories = new HashMap<>();
+  private StoreListing listing = StoreListing.NONE;
 
   /** Removed upstreams that had stated something, whose entries may be published again. */
   private final Map<UpstreamId, Upstream> removedStated =
@@ -336,27 +339,40 @@
   }
 
   /**
-   * Returns the version that has begun every stream of the service that may still be continued,
-   * empty if there may be several.
+   * Returns the version that has begun every stream of the service that may still be continued.
    *
    * @param streamMillis the longest time between the first event of a stream and its continuation
-   * @param nowMillis the time
-   * @param unixMillis the Unix time in milliseconds, with which the starts of upstreams are
-   *     compared
    */
-  public Optional<SoftwareVersion> soleVersion(
-      ServiceName service, long streamMillis, long nowMillis, long unixMillis) {
+  public SoleVersion soleVersion(ServiceName service, long streamMillis, long nowMillis) {
     VersionHistory history = histories.get(service);
-    if (history == null) {
-      return Optional.empty();
-    }
-    long newestStartMillis = 0;
-    for (Upstream upstream : upstreamsOf(service)) {
-      long startedAtMillis = upstream.entry().startedAtMillis();
-      newestStartMillis =
-          Math.max(newestStartMillis, startedAtMillis == 0 ? unixMillis : startedAtMillis);
-    }
-    return history.sole(streamMillis, unixMillis - newestStartMillis, nowMillis);
+    return history == null ? new SoleVersion.Several() : history.sole(streamMillis, nowMillis);
+  }
+
+  /** Records what a listing of the store, which has just been applied, tells of the past. */
+  public void recordListing(StoreListing applied) {
+    listing = applied;
+  }
+
+  /** Returns what the last listing of the store tells of the past. */
+  public StoreListing listing() {
+    return listing;
+  }
+
+  /** Records a version of an upstream that was present before this VM has observed the store. */
+  public void recordEarlierVersion(ServiceName service, SoftwareVersion version, long nowMillis) {
+    histories
+        .computeIfAbsent(service, name -> new VersionHistory(nowMillis))
+        .recordEarlier(version, nowMillis);
+  }
+
+  /** Records that an upstream is gone of which this VM has never seen an entry. */
+  public void recordUnknownGone(long nowMillis) {
+    histories.values().forEach(history -> history.recordUnknownGone(nowMillis));
+  }
+
+  /** Records that all changes of upstreams since an earlier time are known. */
+  public void extendObservation(long sinceMillis) {
+    histories.values().forEach(history -> history.extendObservation(sinceMillis));
   }
 
   /** Returns the upstreams of the service that accept new requests. */
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
+import org.ragworttide.coordination.streams.StoreListing;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -106,6 +107,21 @@
     return catchingUp ? Math.max(0, graceDeadlineMillis - time.nowMillis()) : 0;
   }
 
+  /** Records what a listing of the store, which has just been applied, tells of the past. */
+  public void recordListing(StoreListing listing) {
+    view.recordListing(listing);
+  }
+
+  /** Records an entry that an upstream had before this VM has observed the store. */
+  public void recordEarlierEntry(UpstreamEntry entry) {
+    view.recordEarlierVersion(entry.service(), entry.softwareVersion(), time.nowMillis());
+  }
+
+  /** Records that an upstream is gone of which this VM has never seen an entry. */
+  public void recordUnknownGone() {
+    view.recordUnknownGone(time.nowMillis());
+  }
+
   /** Evacuates an availability zone. */
   public void evacuateZone(ZoneId zone) {
     if (view.evacuate(zone)) {
--- a/gateway/src/test/java/org/ragworttide/gateway/feed/ChangeFeedTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/feed/ChangeFeedTest.java
@@ -18,10 +18,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.ragworttide.coordination.feed.Change;
 import org.ragworttide.coordination.feed.ChangeBatch;
 import org.ragworttide.coordination.feed.FeedMember;
@@ -91,6 +93,11 @@
       answer();
     }
 
+    @Override
+    public void read(StorePosition after, Consumer<ReadOutcome> outcome) {
+      outcome.accept(new ReadOutcome.Unanswered());
+    }
+
     private void poll() {
       if (watching) {
         answer();
@@ -118,6 +125,11 @@
       applied.put(change.key(), change.revision());
     }
 
+    @Override
+    public void recordPast(List<Change> changes, Set<String> rewrittenKeys, long beforeMillis) {
+      // The test does not need it.
+    }
+
     @Override
     public void recordStoreContact() {
       // The test does not need it.
