--- a/coordination/src/main/java/org/ragworttide/coordination/streams/StreamKeepers.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/streams/StreamKeepers.java
@@ -38,6 +38,22 @@
         .toList();
   }
 
+  /**
+   * Returns whether a VM is one of the stream's keepers, without sorting all members.
+   *
+   * @param members numbers of the VMs, which may lack the VM itself
+   */
+  public static boolean isKeeper(StreamId stream, long vm, Collection<Long> members) {
+    long own = weight(stream, vm);
+    int heavier = 0;
+    for (long member : members) {
+      if (member != vm && weight(stream, member) > own && ++heavier == KEEPERS) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private static long weight(StreamId stream, long member) {
     return Rendezvous.weight(stream.value(), Rendezvous.weight(HASH_KEY, member * NUMBER_FACTOR));
   }
--- a/coordination/src/main/java/org/ragworttide/coordination/streams/StreamVersions.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/streams/StreamVersions.java
@@ -1,6 +1,8 @@
 package org.ragworttide.coordination.streams;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -39,13 +41,36 @@
   public Optional<SoftwareVersion> find(StreamId stream, long nowMillis) {
     removeExpired(nowMillis);
     Remembered known = streams.get(stream);
-    if (known == null) {
+    if (known == null || nowMillis - known.usedAtMillis() > LIFETIME_MILLIS) {
       return Optional.empty();
     }
     streams.put(stream, new Remembered(known.version(), nowMillis));
     return Optional.of(known.version());
   }
 
+  /**
+   * Records what another VM remembers of a stream, unless this VM remembers it itself: a VM knows
+   * the streams that it began best.
+   */
+  public void recordRemembered(RememberedStream remembered, long nowMillis) {
+    if (remembered.unusedMillis() <= LIFETIME_MILLIS) {
+      streams.putIfAbsent(
+          remembered.stream(),
+          new Remembered(remembered.version(), nowMillis - remembered.unusedMillis()));
+    }
+  }
+
+  /** Returns the remembered streams, which does not count as their use. */
+  public List<RememberedStream> all(long nowMillis) {
+    removeExpired(nowMillis);
+    List<RememberedStream> all = new ArrayList<>(streams.size());
+    streams.forEach(
+        (stream, known) ->
+            all.add(
+                new RememberedStream(stream, known.version(), nowMillis - known.usedAtMillis())));
+    return all;
+  }
+
   private void removeExpired(long nowMillis) {
     var oldest = streams.entrySet().iterator();
     while (oldest.hasNext()
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -205,6 +205,11 @@
       streams.receive(message.get(), sender);
       return;
     }
+    Optional<HandoverMessage> handover = HandoverMessage.decode(bytes);
+    if (handover.isPresent()) {
+      streams.receive(handover.get(), sender);
+      return;
+    }
     Optional<PermitMessage> permit = PermitMessage.decode(bytes);
     if (permit.isPresent()) {
       coldStarts.receive(permit.get(), sender);
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/StreamDirectory.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/StreamDirectory.java
@@ -12,6 +12,8 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.ragworttide.coordination.streams.HandoverRequests;
+import org.ragworttide.coordination.streams.RememberedStream;
 import org.ragworttide.coordination.streams.SoftwareVersion;
 import org.ragworttide.coordination.streams.StreamId;
 import org.ragworttide.coordination.streams.StreamInquiry;
@@ -22,7 +24,8 @@
 
 /**
  * The software versions that began streams on any VM: remembers those of this VM and those that it
- * keeps for others, and asks other VMs for the rest.
+ * keeps for others, and asks other VMs for the rest. A VM that starts, or learns of another one,
+ * receives the streams that it is to keep from those that remember them.
  *
  * <p>Invariants: each lookup ends once, within {@link #LOOKUP_MILLIS}; lost datagrams delay or fail
  * lookups but never give a wrong version. Confined to the event loop.
@@ -43,7 +46,11 @@
   /** VMs that forward a question at most, so that a few that are gone do no harm. */
   private static final int MAX_FORWARDING_VMS = 8;
 
+  /** Milliseconds between the datagrams of a handover, which fill the receiver's buffer else. */
+  private static final long HANDOVER_PACE_MILLIS = 10;
+
   private final StreamVersions versions = new StreamVersions();
+  private final HandoverRequests handovers = new HandoverRequests();
   private final Map<StreamId, Lookup> lookups = new HashMap<>();
   private final TimerService time;
   private final InetSocketAddress self;
@@ -121,6 +128,31 @@
       BiConsumer<byte[], InetSocketAddress> datagrams, Supplier<Collection<Long>> knownPeers) {
     sender = datagrams;
     peers = knownPeers;
+    time.every(HandoverRequests.PERIOD_MILLIS, this::requestHandovers);
+  }
+
+  private void requestHandovers() {
+    byte[] request = new HandoverMessage.Request(FeedAddress.number(self)).encode();
+    handovers
+        .next(others(), time.nowMillis())
+        .forEach(vm -> sender.accept(request, FeedAddress.address(vm)));
+  }
+
+  private void handOver(long asker, long nowMillis) {
+    Set<Long> members = new HashSet<>(peers.get());
+    members.add(FeedAddress.number(self));
+    List<RememberedStream> kept =
+        versions.all(nowMillis).stream()
+            .filter(it -> StreamKeepers.isKeeper(it.stream(), asker, members))
+            .toList();
+    int datagrams = Math.max(1, Math.ceilDiv(kept.size(), HandoverMessage.MAX_STREAMS));
+    for (int i = 0; i < datagrams; i++) {
+      int from = i * HandoverMessage.MAX_STREAMS;
+      int to = Math.min(kept.size(), from + HandoverMessage.MAX_STREAMS);
+      byte[] part =
+          new HandoverMessage.Streams(kept.subList(from, to), i == datagrams - 1).encode();
+      time.after(i * HANDOVER_PACE_MILLIS, () -> sender.accept(part, FeedAddress.address(asker)));
+    }
   }
 
   /** Records that the version has begun the stream, here and at its keepers. */
@@ -176,6 +208,20 @@
     }
   }
 
+  /** Handles a message of another VM about streams that one of them is to keep. */
+  void receive(HandoverMessage message, InetSocketAddress from) {
+    long now = time.nowMillis();
+    switch (message) {
+      case HandoverMessage.Request request -> handOver(request.asker(), now);
+      case HandoverMessage.Streams received -> {
+        received.streams().forEach(stream -> versions.recordRemembered(stream, now));
+        if (received.last()) {
+          handovers.recordAnswered(FeedAddress.number(from));
+        }
+      }
+    }
+  }
+
   private void answer(StreamMessage.Question question, long nowMillis) {
     StreamId stream = question.stream();
     Optional<SoftwareVersion> known = versions.find(stream, nowMillis);
