--- a/coordination/src/main/java/org/ragworttide/coordination/streams/SoleVersion.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/streams/SoleVersion.java
@@ -19,4 +19,10 @@
    * @param sinceMillis the time from which on the VM would have to know all versions, on its clock
    */
   record Unobserved(long sinceMillis) implements SoleVersion {}
+
+  /**
+   * The VM could not find out whether upstreams of another version have come or gone unnoticed,
+   * because the store has not answered.
+   */
+  record Unconfirmed() implements SoleVersion {}
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
@@ -146,7 +146,26 @@
         });
   }
 
+  /**
+   * Reads the store now and applies what has changed.
+   *
+   * @param outcome receives whether this VM knows all changes up to a time after this call
+   */
+  public void confirm(Consumer<Boolean> outcome) {
+    reader.read(
+        log.position(),
+        answer -> {
+          if (answer instanceof ReadOutcome.Changes changes) {
+            apply(changes.batch());
+          }
+          outcome.accept(answer instanceof ReadOutcome.Changes);
+        });
+  }
+
   private void apply(ChangeBatch batch) {
+    if (batch.listing() && !log.position().isNone() && log.follows(batch)) {
+      listener.recordGap();
+    }
     boolean isEmpty = !batch.listing() && batch.changes().isEmpty();
     if (!log.follows(batch) && !isEmpty) {
       EventLog.log(
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeListener.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeListener.java
@@ -19,6 +19,9 @@
    */
   void recordPast(List<Change> changes, Set<String> rewrittenKeys, long beforeUnixMillis);
 
+  /** Records that changes may have been missed before those that follow. */
+  void recordGap();
+
   /** Records that another VM, from which this one receives the changes, reads the store. */
   void recordStoreContact();
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/SoleVersionLookup.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/SoleVersionLookup.java
@@ -17,17 +17,28 @@
  * Finds the only version that can have begun a stream that no VM remembers.
  *
  * <p>A VM that has not observed the service for as long as the stream may have lasted asks the
- * store what was before: its listing tells whether something went, its history what.
+ * store what was before: its listing tells whether something went, its history what. What a VM has
+ * observed may end some time ago without its notice, if it was cut off or suspended, so the store
+ * has to confirm it after the caller's request has arrived.
  *
- * <p>Invariant: a version is found only if none other can have begun the stream. Confined to the
- * event loop.
+ * <p>Invariants: a version is found only if none other can have begun the stream; one confirmation
+ * is asked for at a time, for all streams that wait for one. Confined to the event loop.
  */
 public final class SoleVersionLookup {
+  /**
+   * Milliseconds between calls to the store: 345 VMs that start together stay far below the rate
+   * that the store of so large a fleet serves.
+   */
+  private static final long CONFIRMATION_PERIOD_MILLIS = 100;
+
   private final FleetView view;
   private final ChangeFeed feed;
   private final TimerService time;
   private final LongSupplier unixMillis;
   private final List<Runnable> awaitingHistory = new ArrayList<>();
+  private final List<Consumer<Boolean>> awaitingConfirmation = new ArrayList<>();
+  private long confirmationAtMillis = Long.MIN_VALUE / 2;
+  private boolean confirming;
 
   /**
    * Creates a lookup.
@@ -52,16 +63,55 @@
    * @param found receives the answer
    */
   void find(ServiceName service, long streamMillis, Consumer<SoleVersion> found) {
+    switch (view.soleVersion(service, streamMillis, time.nowMillis())) {
+      case SoleVersion.Unobserved unobserved ->
+          observeSince(unobserved.sinceMillis(), () -> confirm(service, streamMillis, found));
+      case SoleVersion.Known known -> confirm(service, streamMillis, found);
+      case SoleVersion other -> found.accept(other);
+    }
+  }
+
+  private void confirm(ServiceName service, long streamMillis, Consumer<SoleVersion> found) {
     SoleVersion known = view.soleVersion(service, streamMillis, time.nowMillis());
-    if (known instanceof SoleVersion.Unobserved unobserved) {
-      observeSince(
-          unobserved.sinceMillis(),
-          () -> found.accept(view.soleVersion(service, streamMillis, time.nowMillis())));
-    } else {
+    if (!(known instanceof SoleVersion.Known)) {
       found.accept(known);
+      return;
+    }
+    awaitingConfirmation.add(
+        confirmed ->
+            found.accept(
+                confirmed
+                    ? view.soleVersion(service, streamMillis, time.nowMillis())
+                    : new SoleVersion.Unconfirmed()));
+    if (!confirming) {
+      scheduleConfirmation();
     }
   }
 
+  private void scheduleConfirmation() {
+    confirming = true;
+    long delayMillis = confirmationAtMillis + CONFIRMATION_PERIOD_MILLIS - time.nowMillis();
+    if (delayMillis > 0) {
+      time.after(delayMillis, this::askForConfirmation);
+    } else {
+      askForConfirmation();
+    }
+  }
+
+  private void askForConfirmation() {
+    confirmationAtMillis = time.nowMillis();
+    List<Consumer<Boolean>> asking = List.copyOf(awaitingConfirmation);
+    awaitingConfirmation.clear();
+    feed.confirm(
+        confirmed -> {
+          asking.forEach(it -> it.accept(confirmed));
+          confirming = false;
+          if (!awaitingConfirmation.isEmpty()) {
+            scheduleConfirmation();
+          }
+        });
+  }
+
   /** Extends the observation of the store into the past, as far as the store tells of it. */
   private void observeSince(long sinceMillis, Runnable done) {
     long clockOffsetMillis = unixMillis.getAsLong() - time.nowMillis();
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/StreamPin.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/StreamPin.java
@@ -65,6 +65,9 @@
                 case SoleVersion.Unobserved unobserved ->
                     found.accept(
                         Optional.empty(), cause + ", the versions of its time are not known");
+                case SoleVersion.Unconfirmed unconfirmed ->
+                    found.accept(
+                        Optional.empty(), cause + ", the store does not confirm the only version");
               }
             });
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -358,6 +358,17 @@
     return listing;
   }
 
+  /** Records that changes of upstreams may have been missed until now. */
+  public void recordGap(long nowMillis) {
+    listing = StoreListing.NONE;
+    histories.values().forEach(history -> history.restartObservation(nowMillis));
+  }
+
+  /** Returns whether the upstream is present. */
+  public boolean isKnown(UpstreamId id) {
+    return upstreams.containsKey(id);
+  }
+
   /** Records a version of an upstream that was present before this VM has observed the store. */
   public void recordEarlierVersion(ServiceName service, SoftwareVersion version, long nowMillis) {
     histories
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
@@ -112,6 +112,16 @@
     view.recordListing(listing);
   }
 
+  /** Records that changes of the store may have been missed. */
+  public void recordGap() {
+    view.recordGap(time.nowMillis());
+  }
+
+  /** Returns whether an entry of the upstream is known. */
+  public boolean isKnown(UpstreamId id) {
+    return view.isKnown(id);
+  }
+
   /** Records an entry that an upstream had before this VM has observed the store. */
   public void recordEarlierEntry(UpstreamEntry entry) {
     view.recordEarlierVersion(entry.service(), entry.softwareVersion(), time.nowMillis());
--- a/gateway/src/test/java/org/ragworttide/gateway/feed/ChangeFeedTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/feed/ChangeFeedTest.java
@@ -130,6 +130,11 @@
       // The test does not need it.
     }
 
+    @Override
+    public void recordGap() {
+      // The test does not need it.
+    }
+
     @Override
     public void recordStoreContact() {
       // The test does not need it.
