Remember the version of a stream only once its first event is passed on (ORDER)

What callers could see: an upstream breaks off within the first event, of which the caller receives nothing, and another version begins the stream. Keepers had been told both versions, with a datagram each; one that lost the second would have had the stream go on at the first.

Cause: the version was recorded with the first byte of an answer, not with the first event that the caller receives.

Test: StreamVersionTest.versionThatBreaksOffWithinTheFirstEventHasNotBegunTheStream fails on (the VM remembers the version that delivered no event, 200) and passes now. The record is still sent before the event, so a kill in between loses nothing.

--- a/gateway/src/main/java/org/ragworttide/gateway/relay/CallerResponse.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/CallerResponse.java
@@ -29,6 +29,7 @@
 
   private final ResponseWriter caller;
   private final HttpMethod method;
+  private final Runnable beforeBegin;
   private final CompositeByteBuf buffered;
   private final EventSplitter events;
   private HttpResponse head;
@@ -36,9 +37,15 @@
   private boolean begun;
   private boolean released;
 
-  CallerResponse(ResponseWriter caller, HttpMethod method) {
+  /**
+   * Creates a response that has not begun.
+   *
+   * @param beforeBegin runs before the first part of a response that is passed on as it arrives
+   */
+  CallerResponse(ResponseWriter caller, HttpMethod method, Runnable beforeBegin) {
     this.caller = caller;
     this.method = method;
+    this.beforeBegin = beforeBegin;
     this.buffered = ByteBufAllocator.DEFAULT.compositeBuffer();
     this.events = new EventSplitter(ByteBufAllocator.DEFAULT);
   }
@@ -122,6 +129,7 @@
       return;
     }
     if (!begun) {
+      beforeBegin.run();
       begun = true;
       HttpResponse first =
           new DefaultHttpResponse(
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -88,7 +88,7 @@
     this.context = context;
     this.request = request;
     this.caller = caller;
-    this.response = new CallerResponse(caller, request.http().method());
+    this.response = new CallerResponse(caller, request.http().method(), this::recordBegin);
   }
 
   /** Checks the request and sends it to an upstream. */
@@ -176,6 +176,17 @@
     return refused;
   }
 
+  /**
+   * Records the version of a stream before its first event is passed on; until then, another one
+   * may begin it.
+   */
+  private void recordBegin() {
+    if (attempt.isSuccess() && version.isEmpty() && route.kind() == RouteKind.RESUMABLE_STREAM) {
+      version = Optional.of(attempt.upstream.entry().softwareVersion());
+      context.streams().record(StreamId.of(request.metadata().id()), version.get());
+    }
+  }
+
   /** Ends the request with a final answer because the VM's stop ends. */
   public void endAtStop() {
     if (done) {
@@ -543,10 +554,6 @@
         content.release();
         return;
       }
-      if (isSuccess() && version.isEmpty() && route.kind() == RouteKind.RESUMABLE_STREAM) {
-        version = Optional.of(upstream.entry().softwareVersion());
-        context.streams().record(StreamId.of(request.metadata().id()), version.get());
-      }
       if (answerBegunAtMillis.isEmpty()) {
         answerBegunAtMillis = OptionalLong.of(context.time().nowMillis());
       }
