Ask all VMs of a small fleet for a stream, not only its keepers (LOST)

What callers could see: a VM is cut off from the others while it begins streams. After the cut they go on at no other VM, though the first one is there and remembers them: the keepers were told during the cut and nobody asks the VM itself.

In larger fleets the streams of a VM that was cut off stay unknown elsewhere (refused).

--- a/gateway/src/main/java/org/ragworttide/gateway/peer/StreamDirectory.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/StreamDirectory.java
@@ -49,6 +49,12 @@
   /** Milliseconds between the datagrams of a handover, which fill the receiver's buffer else. */
   private static final long HANDOVER_PACE_MILLIS = 10;
 
+  /**
+   * VMs up to which all are asked for a stream: the one that began it may be the only one that
+   * remembers it, if it was cut off from the keepers then.
+   */
+  private static final int MAX_ASKED_VMS = 16;
+
   private final StreamVersions versions = new StreamVersions();
   private final HandoverRequests handovers = new HandoverRequests();
   private final Map<StreamId, Lookup> lookups = new HashMap<>();
@@ -67,7 +73,7 @@
 
     private Lookup(StreamId stream) {
       this.stream = stream;
-      this.inquiry = new StreamInquiry(keepers(stream), isDiscovering() && !others().isEmpty());
+      this.inquiry = new StreamInquiry(asked(stream), isDiscovering() && !others().isEmpty());
     }
 
     private void start() {
@@ -80,11 +86,11 @@
 
     private void ask() {
       long asker = FeedAddress.number(self);
-      Set<Long> keepers = new HashSet<>(keepers(stream));
-      keepers.forEach(keeper -> send(new StreamMessage.Question(stream, asker, true), keeper));
+      Set<Long> asked = new HashSet<>(asked(stream));
+      asked.forEach(vm -> send(new StreamMessage.Question(stream, asker, true), vm));
       if (isDiscovering()) {
         others().stream()
-            .filter(vm -> !keepers.contains(vm))
+            .filter(vm -> !asked.contains(vm))
             .limit(MAX_FORWARDING_VMS)
             .forEach(vm -> send(new StreamMessage.Question(stream, asker, false), vm));
       }
@@ -253,6 +259,11 @@
     return others;
   }
 
+  /** Returns the VMs that may remember the stream. */
+  private Collection<Long> asked(StreamId stream) {
+    return peers.get().size() < MAX_ASKED_VMS ? List.copyOf(peers.get()) : keepers(stream);
+  }
+
   /** Returns the other VMs among the stream's keepers. */
   private List<Long> keepers(StreamId stream) {
     long own = FeedAddress.number(self);
--- a/gateway/src/test/java/org/ragworttide/gateway/peer/StreamDirectoryTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/peer/StreamDirectoryTest.java
@@ -202,6 +202,20 @@
     assertEquals(fleet.find(2, 1), Optional.of(NEW));
   }
 
+  /** Guards against streams that only the VM that began them remembers after a cut. */
+  @Test
+  public void streamThatBeganDuringCutIsFoundInSmallFleetAfterIt() {
+    Fleet fleet = new Fleet(7);
+    fleet.advance(6_000);
+    fleet.cut.add(FeedAddress.number(fleet.addresses.get(0)));
+    for (int stream = 0; stream < STREAMS; stream++) {
+      fleet.begin(0, stream);
+    }
+    fleet.advance(1_000);
+    fleet.cut.clear();
+    assertEquals(fleet.foundShare(STREAMS), 1.0);
+  }
+
   /** Replays a start in the largest fleet with a tenth of its streams. */
   @Test
   public void startOfVmCostsEachOtherLessThanItsBudgetOfOneSecond() {
