--- a/coordination/src/main/java/org/ragworttide/coordination/streams/StoreListing.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/streams/StoreListing.java
@@ -28,9 +28,6 @@
    */
   public static final long PUBLICATION_MILLIS = 10_000;
 
-  /** The first era of a store; 0 if it names none. */
-  private static final long FIRST_ERA = 1;
-
   /** A listing that tells nothing of the past. */
   public static final StoreListing NONE = new StoreListing(List.of(), 0);
 
@@ -63,13 +60,13 @@
   /**
    * Returns what a listing tells.
    *
-   * @param era the store's era
+   * @param era the number of the store's returns from copies
    * @param revision the store's revision before the first page was read; items that were written
    *     later are ignored, those that they have replaced count as lost
    * @param items the items of all pages
    */
   public static StoreListing of(long era, long revision, Collection<Item> items) {
-    if (era > FIRST_ERA) {
+    if (era > 0) {
       return NONE;
     }
     Set<Long> listed = new HashSet<>();
--- a/coordination/src/test/java/org/ragworttide/coordination/streams/StoreListingTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/streams/StoreListingTest.java
@@ -30,7 +30,7 @@
   }
 
   private static boolean isComplete(long revision, Item... items) {
-    StoreListing listing = StoreListing.of(1, revision, List.of(items));
+    StoreListing listing = StoreListing.of(0, revision, List.of(items));
     return listing.markBefore(LATELY).filter(listing::isCompleteSince).isPresent();
   }
 
@@ -71,7 +71,7 @@
 
   @Test
   public void listingWithoutUpstreamThatStartedBeforeHasNoMark() {
-    StoreListing listing = StoreListing.of(1, 2, List.of(configuration(1), upstream(2, LATELY)));
+    StoreListing listing = StoreListing.of(0, 2, List.of(configuration(1), upstream(2, LATELY)));
     assertEquals(listing.markBefore(LATELY), Optional.empty());
     assertEquals(
         listing.markBefore(LATELY + StoreListing.PUBLICATION_MILLIS),
@@ -80,7 +80,7 @@
 
   @Test
   public void itemWithoutItsFirstRevisionIsNoMark() {
-    StoreListing listing = StoreListing.of(1, 1, List.of(new Item(0, 1, LONG_AGO)));
+    StoreListing listing = StoreListing.of(0, 1, List.of(new Item(0, 1, LONG_AGO)));
     assertEquals(listing.markBefore(NOW), Optional.empty());
   }
 
@@ -88,14 +88,14 @@
   @Test
   public void firstOfSeveralMarksCounts() {
     StoreListing listing =
-        StoreListing.of(1, 9, List.of(upstream(3, LONG_AGO + SECOND), upstream(9, LONG_AGO)));
+        StoreListing.of(0, 9, List.of(upstream(3, LONG_AGO + SECOND), upstream(9, LONG_AGO)));
     assertEquals(listing.markBefore(LATELY).map(Mark::revision), Optional.of(3L));
   }
 
   /** Guards against a store that has lost what happened since its copy was made. */
   @Test
   public void listingOfLaterEraTellsNothing() {
-    StoreListing listing = StoreListing.of(2, 1, List.of(upstream(1, LONG_AGO)));
+    StoreListing listing = StoreListing.of(1, 1, List.of(upstream(1, LONG_AGO)));
     assertEquals(listing.markBefore(NOW), Optional.empty());
   }
 
@@ -118,7 +118,7 @@
           items.put(key, new Item(created, revision, random.nextBoolean() ? LONG_AGO : NOW));
         }
       }
-      StoreListing listing = StoreListing.of(1, revision, new ArrayList<>(items.values()));
+      StoreListing listing = StoreListing.of(0, revision, new ArrayList<>(items.values()));
       Optional<Mark> mark = listing.markBefore(LATELY);
       if (mark.isPresent() && listing.isCompleteSince(mark.get())) {
         assertTrue(lastDeletion <= mark.get().revision(), "seed " + seed);
