--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -253,7 +253,7 @@
     Optional<Upstream> chosen =
         context.placement().choose(service, version, request.metadata().prompt(), tried, now);
     if (chosen.isEmpty()) {
-      if (version.isPresent() && !context.view().isPresent(service, version.get())) {
+      if (version.isPresent() && !context.view().versions().isPresent(service, version.get())) {
         refuseOrAbort(
             Refusal.STREAM_VERSION_GONE,
             "no upstream of service " + service + " has the stream's version " + version.get());
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/SoleVersionLookup.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/SoleVersionLookup.java
@@ -11,7 +11,7 @@
 import org.ragworttide.gateway.feed.ChangeFeed;
 import org.ragworttide.gateway.feed.ReadOutcome;
 import org.ragworttide.gateway.model.ServiceName;
-import org.ragworttide.gateway.view.FleetView;
+import org.ragworttide.gateway.view.ObservedVersions;
 
 /**
  * Finds the only version that can have begun a stream that no VM remembers.
@@ -31,7 +31,7 @@
    */
   private static final long CONFIRMATION_PERIOD_MILLIS = 100;
 
-  private final FleetView view;
+  private final ObservedVersions versions;
   private final ChangeFeed feed;
   private final TimerService time;
   private final LongSupplier unixMillis;
@@ -43,14 +43,14 @@
   /**
    * Creates a lookup.
    *
-   * @param view the VM's view of the fleet
+   * @param versions the versions that the VM has observed
    * @param feed the changes of the store
    * @param time the clock of the event loop
    * @param unixMillis the Unix time in milliseconds
    */
   public SoleVersionLookup(
-      FleetView view, ChangeFeed feed, TimerService time, LongSupplier unixMillis) {
-    this.view = view;
+      ObservedVersions versions, ChangeFeed feed, TimerService time, LongSupplier unixMillis) {
+    this.versions = versions;
     this.feed = feed;
     this.time = time;
     this.unixMillis = unixMillis;
@@ -63,7 +63,7 @@
    * @param found receives the answer
    */
   void find(ServiceName service, long streamMillis, Consumer<SoleVersion> found) {
-    switch (view.soleVersion(service, streamMillis, time.nowMillis())) {
+    switch (versions.sole(service, streamMillis, time.nowMillis())) {
       case SoleVersion.Unobserved unobserved ->
           observeSince(unobserved.sinceMillis(), () -> confirm(service, streamMillis, found));
       case SoleVersion.Known known -> confirm(service, streamMillis, found);
@@ -72,7 +72,7 @@
   }
 
   private void confirm(ServiceName service, long streamMillis, Consumer<SoleVersion> found) {
-    SoleVersion known = view.soleVersion(service, streamMillis, time.nowMillis());
+    SoleVersion known = versions.sole(service, streamMillis, time.nowMillis());
     if (!(known instanceof SoleVersion.Known)) {
       found.accept(known);
       return;
@@ -81,7 +81,7 @@
         confirmed ->
             found.accept(
                 confirmed
-                    ? view.soleVersion(service, streamMillis, time.nowMillis())
+                    ? versions.sole(service, streamMillis, time.nowMillis())
                     : new SoleVersion.Unconfirmed()));
     if (!confirming) {
       scheduleConfirmation();
@@ -116,11 +116,11 @@
   private void observeSince(long sinceMillis, Runnable done) {
     long clockOffsetMillis = unixMillis.getAsLong() - time.nowMillis();
     Optional<StoreListing.Mark> mark =
-        view.listing().markBefore(sinceMillis + clockOffsetMillis - 1);
+        versions.listing().markBefore(sinceMillis + clockOffsetMillis - 1);
     if (mark.isEmpty()) {
       done.run();
-    } else if (view.listing().isCompleteSince(mark.get())) {
-      view.extendObservation(mark.get().beforeUnixMillis() - clockOffsetMillis);
+    } else if (versions.listing().isCompleteSince(mark.get())) {
+      versions.extendObservation(mark.get().beforeUnixMillis() - clockOffsetMillis);
       done.run();
     } else {
       awaitingHistory.add(done);
@@ -131,15 +131,15 @@
   }
 
   private void readHistory(StoreListing.Mark mark, long sinceMillis) {
-    StoreListing listing = view.listing();
+    StoreListing listing = versions.listing();
     feed.readPast(
         mark,
         outcome -> {
           // A listing that was applied in the meantime has begun another observation.
-          if (view.listing() == listing) {
+          if (versions.listing() == listing) {
             switch (outcome) {
-              case ReadOutcome.Changes past -> view.extendObservation(sinceMillis);
-              case ReadOutcome.HistoryGone gone -> view.recordListing(StoreListing.NONE);
+              case ReadOutcome.Changes past -> versions.extendObservation(sinceMillis);
+              case ReadOutcome.HistoryGone gone -> versions.recordListing(StoreListing.NONE);
               case ReadOutcome.Unanswered unanswered -> {
                 // The next stream that nobody remembers asks again.
               }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/StreamPin.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/StreamPin.java
@@ -58,6 +58,7 @@
             service,
             streamMillis(),
             sole -> {
+              context.telemetry().recordUnknownStream(sole);
               switch (sole) {
                 case SoleVersion.Known known -> found.accept(Optional.of(known.version()), "");
                 case SoleVersion.Several several ->
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
@@ -11,6 +11,7 @@
 import org.ragworttide.coordination.placement.Prompt;
 import org.ragworttide.coordination.placement.UpstreamLoad;
 import org.ragworttide.coordination.quarantine.Suspect;
+import org.ragworttide.coordination.streams.SoleVersion;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -83,6 +84,11 @@
         continuation.lastEventId());
   }
 
+  /** Records which version may continue a stream that no VM remembers. */
+  void recordUnknownStream(SoleVersion sole) {
+    metrics.counter("gateway_streams_unknown;version=" + sole.getClass().getSimpleName()).inc();
+  }
+
   void recordRefusal(String requestId, Refusal refusal, String cause, long elapsedMillis) {
     metrics.counter("gateway_refused;reason=" + refusal).inc();
     log(LogEvent.RELAY_REFUSED, requestId, refusal, cause, elapsedMillis);
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -25,10 +25,6 @@
 import org.ragworttide.coordination.quarantine.CrashSuspicions;
 import org.ragworttide.coordination.quarantine.Suspect;
 import org.ragworttide.coordination.quarantine.SuspicionStatement;
-import org.ragworttide.coordination.streams.SoftwareVersion;
-import org.ragworttide.coordination.streams.SoleVersion;
-import org.ragworttide.coordination.streams.StoreListing;
-import org.ragworttide.coordination.streams.VersionHistory;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
 import org.ragworttide.gateway.model.CallerLimits;
@@ -56,8 +52,7 @@
   private final Map<Integer, Upstream> byIncarnation = new HashMap<>();
   private final Map<ServiceName, List<Upstream>> byService = new HashMap<>();
 
-  private final Map<ServiceName, VersionHistory> histories = new HashMap<>();
-  private StoreListing listing = StoreListing.NONE;
+  private final ObservedVersions versions = new ObservedVersions();
 
   /** Removed upstreams that had stated something, whose entries may be published again. */
   private final Map<UpstreamId, Upstream> removedStated =
@@ -125,9 +120,7 @@
     upstreams.put(entry.id(), added);
     byIncarnation.put(added.incarnationKey(), added);
     byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(added);
-    histories
-        .computeIfAbsent(entry.service(), name -> new VersionHistory(nowMillis))
-        .recordPresent(entry.softwareVersion());
+    versions.recordPresent(entry, nowMillis);
   }
 
   /** Removes an upstream whose entry was deleted or belongs to an earlier incarnation. */
@@ -136,9 +129,7 @@
     if (removed != null) {
       byIncarnation.remove(removed.incarnationKey(), removed);
       byService.get(removed.entry().service()).remove(removed);
-      histories
-          .get(removed.entry().service())
-          .recordGone(removed.entry().softwareVersion(), nowMillis);
+      versions.recordGone(removed.entry(), nowMillis);
       if (removed.load().availability().isStated(nowMillis)) {
         removedStated.put(id, removed);
       }
@@ -332,36 +323,9 @@
     return List.copyOf(byService.getOrDefault(service, List.of()));
   }
 
-  /** Returns whether an upstream of the service has the version, also one that is draining. */
-  public boolean isPresent(ServiceName service, SoftwareVersion version) {
-    VersionHistory history = histories.get(service);
-    return history != null && history.isPresent(version);
-  }
-
-  /**
-   * Returns the version that has begun every stream of the service that may still be continued.
-   *
-   * @param streamMillis the longest time between the first event of a stream and its continuation
-   */
-  public SoleVersion soleVersion(ServiceName service, long streamMillis, long nowMillis) {
-    VersionHistory history = histories.get(service);
-    return history == null ? new SoleVersion.Several() : history.sole(streamMillis, nowMillis);
-  }
-
-  /** Records what a listing of the store, which has just been applied, tells of the past. */
-  public void recordListing(StoreListing applied) {
-    listing = applied;
-  }
-
-  /** Returns what the last listing of the store tells of the past. */
-  public StoreListing listing() {
-    return listing;
-  }
-
-  /** Records that changes of upstreams may have been missed until now. */
-  public void recordGap(long nowMillis) {
-    listing = StoreListing.NONE;
-    histories.values().forEach(history -> history.restartObservation(nowMillis));
+  /** Returns the software versions that upstreams have had. */
+  public ObservedVersions versions() {
+    return versions;
   }
 
   /** Returns whether the upstream is present. */
@@ -369,23 +333,6 @@
     return upstreams.containsKey(id);
   }
 
-  /** Records a version of an upstream that was present before this VM has observed the store. */
-  public void recordEarlierVersion(ServiceName service, SoftwareVersion version, long nowMillis) {
-    histories
-        .computeIfAbsent(service, name -> new VersionHistory(nowMillis))
-        .recordEarlier(version, nowMillis);
-  }
-
-  /** Records that an upstream is gone of which this VM has never seen an entry. */
-  public void recordUnknownGone(long nowMillis) {
-    histories.values().forEach(history -> history.recordUnknownGone(nowMillis));
-  }
-
-  /** Records that all changes of upstreams since an earlier time are known. */
-  public void extendObservation(long sinceMillis) {
-    histories.values().forEach(history -> history.extendObservation(sinceMillis));
-  }
-
   /** Returns the upstreams of the service that accept new requests. */
   public List<Upstream> availableUpstreams(ServiceName service) {
     return servingUpstreams(service).stream().filter(it -> !it.entry().draining()).toList();
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
@@ -109,12 +109,12 @@
 
   /** Records what a listing of the store, which has just been applied, tells of the past. */
   public void recordListing(StoreListing listing) {
-    view.recordListing(listing);
+    view.versions().recordListing(listing);
   }
 
   /** Records that changes of the store may have been missed. */
   public void recordGap() {
-    view.recordGap(time.nowMillis());
+    view.versions().recordGap(time.nowMillis());
   }
 
   /** Returns whether an entry of the upstream is known. */
@@ -124,12 +124,12 @@
 
   /** Records an entry that an upstream had before this VM has observed the store. */
   public void recordEarlierEntry(UpstreamEntry entry) {
-    view.recordEarlierVersion(entry.service(), entry.softwareVersion(), time.nowMillis());
+    view.versions().recordEarlier(entry, time.nowMillis());
   }
 
   /** Records that an upstream is gone of which this VM has never seen an entry. */
   public void recordUnknownGone() {
-    view.recordUnknownGone(time.nowMillis());
+    view.versions().recordUnknownGone(time.nowMillis());
   }
 
   /** Evacuates an availability zone. */
