Count from the first configuration, not from the start of an upstream, what the store tells of the past (ORDER)

Upstreams may publish late. The items of the store bear no times at all.

Change: no stream begins before the first configuration is written, and its `created` revision is known. Whatever went since has to be accounted for: by the listing, if each revision belongs to an item as it was written, or by the history from before the first listed item. Forgotten history is not known, so refused. The marks, their tolerance and the comparison of clocks are gone.

--- a/coordination/src/main/java/org/ragworttide/coordination/streams/SoleVersion.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/streams/SoleVersion.java
@@ -15,10 +15,8 @@
   /**
    * All known upstreams have one version, but those of another may have gone before the VM began to
    * observe the service.
-   *
-   * @param sinceMillis the time from which on the VM would have to know all versions, on its clock
    */
-  record Unobserved(long sinceMillis) implements SoleVersion {}
+  record Unobserved() implements SoleVersion {}
 
   /**
    * The VM could not find out whether upstreams of another version have come or gone unnoticed,
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -128,7 +128,7 @@
             traffic,
             new CrashCheck(view, connector, placement, zones, time),
             new StreamDirectory(settings.peers(), settings.seeds(), time),
-            new SoleVersionLookup(view.versions(), feed, time, System::currentTimeMillis),
+            new SoleVersionLookup(view.versions(), feed, time),
             new ColdStarts(settings.peers(), view, time),
             new RetryBudgets(settings.retryRatio(), settings.retrySlack()),
             telemetry,
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
@@ -19,7 +19,6 @@
 import org.ragworttide.coordination.feed.ItemRules;
 import org.ragworttide.coordination.feed.RetainedChange;
 import org.ragworttide.coordination.feed.StorePosition;
-import org.ragworttide.coordination.streams.StoreListing;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
@@ -131,16 +130,14 @@
    * Reads the changes after a revision of the known era, which this VM has passed already, and
    * passes them to the listener as changes of the past.
    *
-   * @param mark the revision
    * @param outcome receives the outcome after the listener
    */
-  public void readPast(StoreListing.Mark mark, Consumer<ReadOutcome> outcome) {
+  public void readPast(long afterRevision, Consumer<ReadOutcome> outcome) {
     reader.read(
-        new StorePosition(log.position().era(), mark.revision()),
+        new StorePosition(log.position().era(), afterRevision),
         answer -> {
           if (answer instanceof ReadOutcome.Changes past) {
-            listener.recordPast(
-                past.batch().changes(), past.rewrittenKeys(), mark.beforeUnixMillis());
+            listener.recordPast(past.batch().changes());
           }
           outcome.accept(answer);
         });
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeListener.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeListener.java
@@ -1,7 +1,6 @@
 package org.ragworttide.gateway.feed;
 
 import java.util.List;
-import java.util.Set;
 import org.ragworttide.coordination.feed.Change;
 
 /** Receives the changes of the store, from the store or another VM. Called on the event loop. */
@@ -10,14 +9,8 @@
   /** Applies a change that is newer than any applied change of its key. */
   void apply(Change change);
 
-  /**
-   * Records changes of the past, which are not applied.
-   *
-   * @param changes the changes, in their order
-   * @param rewrittenKeys keys of items that existed before the first of them and were written again
-   * @param beforeUnixMillis a Unix time in milliseconds before which all other changes were made
-   */
-  void recordPast(List<Change> changes, Set<String> rewrittenKeys, long beforeUnixMillis);
+  /** Records changes of the past, in their order, which are not applied. */
+  void recordPast(List<Change> changes);
 
   /** Records that changes may have been missed before those that follow. */
   void recordGap();
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/SoleVersionLookup.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/SoleVersionLookup.java
@@ -2,9 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.ragworttide.coordination.streams.SoleVersion;
 import org.ragworttide.coordination.streams.StoreListing;
 import org.ragworttide.coordination.time.TimerService;
@@ -34,7 +32,6 @@
   private final ObservedVersions versions;
   private final ChangeFeed feed;
   private final TimerService time;
-  private final LongSupplier unixMillis;
   private final List<Runnable> awaitingHistory = new ArrayList<>();
   private final List<Consumer<Boolean>> awaitingConfirmation = new ArrayList<>();
   private long confirmationAtMillis = Long.MIN_VALUE / 2;
@@ -46,14 +43,11 @@
    * @param versions the versions that the VM has observed
    * @param feed the changes of the store
    * @param time the clock of the event loop
-   * @param unixMillis the Unix time in milliseconds
    */
-  public SoleVersionLookup(
-      ObservedVersions versions, ChangeFeed feed, TimerService time, LongSupplier unixMillis) {
+  public SoleVersionLookup(ObservedVersions versions, ChangeFeed feed, TimerService time) {
     this.versions = versions;
     this.feed = feed;
     this.time = time;
-    this.unixMillis = unixMillis;
   }
 
   /**
@@ -65,7 +59,7 @@
   void find(ServiceName service, long streamMillis, Consumer<SoleVersion> found) {
     switch (versions.sole(service, streamMillis, time.nowMillis())) {
       case SoleVersion.Unobserved unobserved ->
-          observeSince(unobserved.sinceMillis(), () -> confirm(service, streamMillis, found));
+          observePast(() -> confirm(service, streamMillis, found));
       case SoleVersion.Known known -> confirm(service, streamMillis, found);
       case SoleVersion other -> found.accept(other);
     }
@@ -113,32 +107,29 @@
   }
 
   /** Extends the observation of the store into the past, as far as the store tells of it. */
-  private void observeSince(long sinceMillis, Runnable done) {
-    long clockOffsetMillis = unixMillis.getAsLong() - time.nowMillis();
-    Optional<StoreListing.Mark> mark =
-        versions.listing().markBefore(sinceMillis + clockOffsetMillis - 1);
-    if (mark.isEmpty()) {
+  private void observePast(Runnable done) {
+    StoreListing listing = versions.listing();
+    if (listing.isComplete()) {
+      versions.recordPastKnown();
       done.run();
-    } else if (versions.listing().isCompleteSince(mark.get())) {
-      versions.extendObservation(mark.get().beforeUnixMillis() - clockOffsetMillis);
+    } else if (listing.historyStart().isEmpty()) {
       done.run();
     } else {
       awaitingHistory.add(done);
       if (awaitingHistory.size() == 1) {
-        readHistory(mark.get(), mark.get().beforeUnixMillis() - clockOffsetMillis);
+        readHistory(listing, listing.historyStart().getAsLong());
       }
     }
   }
 
-  private void readHistory(StoreListing.Mark mark, long sinceMillis) {
-    StoreListing listing = versions.listing();
+  private void readHistory(StoreListing listing, long afterRevision) {
     feed.readPast(
-        mark,
+        afterRevision,
         outcome -> {
           // A listing that was applied in the meantime has begun another observation.
           if (versions.listing() == listing) {
             switch (outcome) {
-              case ReadOutcome.Changes past -> versions.extendObservation(sinceMillis);
+              case ReadOutcome.Changes past -> versions.recordPastKnown();
               case ReadOutcome.HistoryGone gone -> versions.recordListing(StoreListing.NONE);
               case ReadOutcome.Unanswered unanswered -> {
                 // The next stream that nobody remembers asks again.
--- a/gateway/src/main/java/org/ragworttide/gateway/view/ObservedVersions.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/ObservedVersions.java
@@ -56,9 +56,9 @@
     return listing;
   }
 
-  /** Records that all changes since an earlier time are known. */
-  public void extendObservation(long sinceMillis) {
-    histories.values().forEach(history -> history.extendObservation(sinceMillis));
+  /** Records that all changes since the first stream are known. */
+  public void recordPastKnown() {
+    histories.values().forEach(VersionHistory::recordPastKnown);
   }
 
   /** Returns whether an upstream of the service has the version, also one that is draining. */
