--- a/gateway/src/main/java/org/ragworttide/gateway/peer/StreamDirectory.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/StreamDirectory.java
@@ -46,12 +46,12 @@
   /** VMs that forward a question at most, so that a few that are gone do no harm. */
   private static final int MAX_FORWARDING_VMS = 8;
 
-  /** Milliseconds between the datagrams of a handover, which fill the receiver's buffer else. */
+  /** Milliseconds between datagrams of a handover, so that the receiver's buffer holds them. */
   private static final long HANDOVER_PACE_MILLIS = 10;
 
   /**
-   * VMs up to which all are asked for a stream: the one that began it may be the only one that
-   * remembers it, if it was cut off from the keepers then.
+   * Size of a fleet up to which all VMs are asked for a stream: the one that began it may be the
+   * only one that remembers it, if it was cut off from the keepers then.
    */
   private static final int MAX_ASKED_VMS = 16;
 
