--- a/coordination/src/main/java/org/ragworttide/coordination/quarantine/CrashSuspicions.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/quarantine/CrashSuspicions.java
@@ -123,6 +123,11 @@
     brokenAnswers.remove(upstream);
   }
 
+  /** Returns whether the upstream has broken off answers of which its crash may be the cause. */
+  public boolean hasBrokenAnswers(int upstream) {
+    return brokenAnswers.containsKey(upstream);
+  }
+
   /**
    * Records that an upstream is gone; one of the requests whose answers it recently broke off may
    * have crashed it.
--- a/coordination/src/main/java/org/ragworttide/coordination/zones/ZoneReachability.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/zones/ZoneReachability.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 
 /**
@@ -18,13 +19,26 @@
  * checks find out when the zone is back. A single silent upstream changes nothing, because the
  * others answer the check.
  *
- * <p>Invariants: a zone becomes unreachable only by a check of this VM, during which no upstream of
- * the zone has answered; any answer makes it reachable at once. Confined to one thread.
+ * <p>Connections that are refused make a zone suspect too, but only those to two of its upstreams
+ * with none opened in between: a single one means that its process has ended.
+ *
+ * <p>Invariants: a zone becomes unreachable only by a check of this VM, during which no connection
+ * to an upstream of the zone was opened; any that is makes it reachable at once. Confined to one
+ * thread.
  */
 public final class ZoneReachability {
   /** Upstreams of a suspect zone to which connections are opened. */
   static final int FIRST_CHECK_UPSTREAMS = 3;
 
+  /**
+   * Upstreams of a zone that refuses connections to which connections are opened: more than of one
+   * that is silent, since several processes may have ended while the others serve.
+   */
+  static final int REFUSED_CHECK_UPSTREAMS = 6;
+
+  /** Upstreams that refuse connections, one after the other, before their zone is suspect. */
+  private static final int SUSPECT_REFUSALS = 2;
+
   /** Upstreams that are checked again while the zone is unreachable. */
   static final int LATER_CHECK_UPSTREAMS = 2;
 
@@ -37,14 +51,23 @@
    */
   static final long CHECK_INTERVAL_MILLIS = 500;
 
+  /**
+   * Time after a connection to a zone was opened in which the verdict of another VM says nothing
+   * about this VM's way to it.
+   */
+  static final long RECENT_CONTACT_MILLIS = 1_000;
+
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final Map<ZoneId, State> states = new HashMap<>();
+  private final Map<ZoneId, Long> contactAtMillis = new HashMap<>();
 
   private static final class State {
+    private final Set<UpstreamId> refusing = new HashSet<>();
     private long checkStartedAtMillis = NEVER;
     private boolean checking;
     private boolean checkDue;
+    private boolean refused;
     private boolean unreachable;
   }
 
@@ -58,23 +81,42 @@
    */
   public record Check(ZoneId zone, int upstreams) {}
 
-  /**
-   * Records that a connection to an upstream of the zone timed out, or that another VM of the own
-   * zone states that it cannot reach the zone.
-   */
+  /** Records that an upstream of the zone does not answer a new connection. */
   public void recordSuspicion(ZoneId zone) {
+    demandCheck(states.computeIfAbsent(zone, key -> new State()));
+  }
+
+  /** Records that another VM of the own zone states that it cannot reach the zone. */
+  public void recordPeerVerdict(ZoneId zone, long nowMillis) {
+    Long contact = contactAtMillis.get(zone);
+    if (contact == null || nowMillis - contact >= RECENT_CONTACT_MILLIS) {
+      recordSuspicion(zone);
+    }
+  }
+
+  /** Records that a new connection to an upstream of the zone was refused. */
+  public void recordRefusal(ZoneId zone, UpstreamId upstream) {
     State state = states.computeIfAbsent(zone, key -> new State());
+    state.refused = true;
+    state.refusing.add(upstream);
+    if (state.refusing.size() >= SUSPECT_REFUSALS) {
+      demandCheck(state);
+    }
+  }
+
+  private static void demandCheck(State state) {
     if (!state.checking && !state.unreachable) {
       state.checkDue = true;
     }
   }
 
   /**
-   * Records that an upstream of the zone has answered in any way.
+   * Records that a connection to an upstream of the zone was opened.
    *
    * @return whether the zone was unreachable
    */
-  public boolean recordContact(ZoneId zone) {
+  public boolean recordContact(ZoneId zone, long nowMillis) {
+    contactAtMillis.put(zone, nowMillis);
     State state = states.remove(zone);
     return state != null && state.unreachable;
   }
@@ -90,13 +132,23 @@
             state.checkDue = false;
             state.checking = !state.unreachable;
             state.checkStartedAtMillis = nowMillis;
-            checks.add(
-                new Check(zone, state.unreachable ? LATER_CHECK_UPSTREAMS : FIRST_CHECK_UPSTREAMS));
+            checks.add(new Check(zone, upstreamsToCheck(state)));
+            if (state.checking) {
+              state.refused = false;
+              state.refusing.clear();
+            }
           }
         });
     return checks;
   }
 
+  private static int upstreamsToCheck(State state) {
+    if (state.unreachable) {
+      return LATER_CHECK_UPSTREAMS;
+    }
+    return state.refused ? REFUSED_CHECK_UPSTREAMS : FIRST_CHECK_UPSTREAMS;
+  }
+
   /** Ends the checks that no upstream has answered in time; returns the zones that are lost. */
   public List<ZoneId> endChecks(long nowMillis) {
     List<ZoneId> lost = new ArrayList<>();
@@ -111,6 +163,15 @@
     return lost;
   }
 
+  /**
+   * Returns whether the zone cannot be reached and no machine of it has refused a connection. Open
+   * connections to a zone that refuses new ones may still serve.
+   */
+  public boolean isSilent(ZoneId zone) {
+    State state = states.get(zone);
+    return state != null && state.unreachable && !state.refused;
+  }
+
   /** Returns the zones that cannot be reached. */
   public Set<ZoneId> unreachable() {
     if (states.isEmpty()) {
--- a/coordination/src/test/java/org/ragworttide/coordination/zones/ZoneReachabilityFleetTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/zones/ZoneReachabilityFleetTest.java
@@ -125,7 +125,7 @@
         }
         while (!answers.isEmpty() && answers.peek().atMillis() <= now) {
           Answer answer = answers.poll();
-          answer.vm().zones.recordContact(answer.zone());
+          answer.vm().zones.recordContact(answer.zone(), now);
         }
         while (!requests.isEmpty() && requests.peek().atMillis() <= now) {
           place(requests.poll());
@@ -152,7 +152,7 @@
       }
       int engine = choose(vm);
       if (connects(vm, engine % ZONES)) {
-        vm.zones.recordContact(zone(engine % ZONES));
+        vm.zones.recordContact(zone(engine % ZONES), now);
         count(request, now + ROUND_TRIP_MILLIS);
       } else {
         requests.add(
@@ -211,7 +211,7 @@
         for (int i = 0; i < (vms.size() <= SMALL_FLEET_VMS ? vms.size() : 2); i++) {
           Vm to = vms.get(vms.size() <= SMALL_FLEET_VMS ? i : random.nextInt(vms.size()));
           if (to.number % ZONES == from.number % ZONES && to != from) {
-            to.zones.recordSuspicion(zone);
+            to.zones.recordPeerVerdict(zone, now);
           }
         }
       }
--- a/coordination/src/test/java/org/ragworttide/coordination/zones/ZoneReachabilityTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/zones/ZoneReachabilityTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Set;
+import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
 import org.testng.annotations.Test;
 
@@ -52,7 +53,7 @@
   public void answerDuringTheCheckKeepsTheZone() {
     zones.recordSuspicion(ZONE);
     zones.startChecks(0);
-    assertFalse(zones.recordContact(ZONE));
+    assertFalse(zones.recordContact(ZONE, VERDICT / 2));
     assertEquals(zones.endChecks(VERDICT), List.of());
   }
 
@@ -62,13 +63,62 @@
     assertEquals(lost.startChecks(INTERVAL - 1), List.of());
     assertEquals(lost.startChecks(INTERVAL), List.of(new ZoneReachability.Check(ZONE, 2)));
     assertEquals(lost.endChecks(INTERVAL + VERDICT), List.of());
-    assertTrue(lost.recordContact(ZONE));
+    assertTrue(lost.recordContact(ZONE, INTERVAL + VERDICT));
     assertEquals(lost.unreachable(), Set.of());
     assertEquals(lost.startChecks(3 * INTERVAL), List.of());
   }
 
   @Test
   public void contactWithReachableZoneIsNoChange() {
-    assertFalse(new ZoneReachability().recordContact(ZONE));
+    assertFalse(new ZoneReachability().recordContact(ZONE, 0));
+  }
+
+  @Test
+  public void upstreamThatRefusesConnectionsAloneIsNoSuspicion() {
+    ZoneReachability refusing = new ZoneReachability();
+    refusing.recordRefusal(ZONE, new UpstreamId("u1"));
+    refusing.recordRefusal(ZONE, new UpstreamId("u1"));
+    assertEquals(refusing.startChecks(0), List.of());
+  }
+
+  @Test
+  public void zoneThatRefusesAllConnectionsIsUnreachableButNotSilent() {
+    ZoneReachability refusing = new ZoneReachability();
+    refusing.recordRefusal(ZONE, new UpstreamId("u1"));
+    refusing.recordRefusal(ZONE, new UpstreamId("u2"));
+    assertEquals(refusing.startChecks(0), List.of(new ZoneReachability.Check(ZONE, 6)));
+    refusing.recordRefusal(ZONE, new UpstreamId("u3"));
+    assertEquals(refusing.endChecks(VERDICT), List.of(ZONE));
+    assertFalse(refusing.isSilent(ZONE));
+  }
+
+  @Test
+  public void zoneThatFallsSilentAfterRefusalIsSilent() {
+    ZoneReachability silent = new ZoneReachability();
+    silent.recordRefusal(ZONE, new UpstreamId("u1"));
+    silent.recordSuspicion(ZONE);
+    silent.startChecks(0);
+    silent.endChecks(VERDICT);
+    assertTrue(silent.isSilent(ZONE));
+  }
+
+  @Test
+  public void openedConnectionBetweenRefusalsEndsTheSuspicion() {
+    ZoneReachability refusing = new ZoneReachability();
+    refusing.recordRefusal(ZONE, new UpstreamId("u1"));
+    refusing.recordContact(ZONE, 0);
+    refusing.recordRefusal(ZONE, new UpstreamId("u2"));
+    assertEquals(refusing.startChecks(0), List.of());
+  }
+
+  /** Guards against a check for each statement of a VM whose own way is cut. */
+  @Test
+  public void verdictOfAnotherVmStartsNoCheckAfterContact() {
+    ZoneReachability reached = new ZoneReachability();
+    reached.recordContact(ZONE, 0);
+    reached.recordPeerVerdict(ZONE, ZoneReachability.RECENT_CONTACT_MILLIS - 1);
+    assertEquals(reached.startChecks(0), List.of());
+    reached.recordPeerVerdict(ZONE, ZoneReachability.RECENT_CONTACT_MILLIS);
+    assertEquals(reached.startChecks(0).size(), 1);
   }
 }
--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -119,6 +119,12 @@
   /** Requests to a service begin to leave the zone because callers lose less in others, or end. */
   ZONE_SHARE_CHANGED(
       7117, Level.INFO, "share of the requests to service %s that leaves zone %s: %s"),
+  /** A request is sent to an upstream through another VM, since the VM cannot reach it. */
+  TUNNEL_OPENED(7118, Level.INFO, "request %s connected to upstream %s through VM at %s"),
+  /** A request of another VM is connected to an upstream that it cannot reach. */
+  TUNNEL_SERVED(7119, Level.INFO, "request %s of VM at %s connected to upstream %s"),
+  /** A request of another VM is not connected to an upstream. */
+  TUNNEL_REFUSED(7120, Level.INFO, "request %s of VM at %s not connected: %s"),
   /** The first message of another VM has arrived. */
   PEER_HEARD(7201, Level.INFO, "first message of VM %s received from %s"),
   /** No message of another VM has arrived for 30 s. */
--- a/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseDecoder.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseDecoder.java
@@ -127,7 +127,7 @@
    * Returns whether the upstream's system has acknowledged all sent bytes. One that ends its side
    * earlier has not read the request, and resets the connection when the rest arrives.
    */
-  private static boolean isAcknowledged(Channel channel) {
+  public static boolean isAcknowledged(Channel channel) {
     if (!(channel instanceof EpollSocketChannel socket) || !socket.isOpen()) {
       return true;
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -7,12 +7,14 @@
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
 import org.ragworttide.coordination.admission.StopAdmission;
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.feed.ItemRules;
 import org.ragworttide.coordination.time.TimerService;
+import org.ragworttide.coordination.zones.TunnelPeers;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
 import org.ragworttide.daemon.metrics.MetricsText;
@@ -29,8 +31,11 @@
 import org.ragworttide.gateway.relay.RetryBudgets;
 import org.ragworttide.gateway.relay.SoleVersionLookup;
 import org.ragworttide.gateway.relay.Telemetry;
+import org.ragworttide.gateway.relay.UpstreamPaths;
 import org.ragworttide.gateway.relay.ZoneTraffic;
 import org.ragworttide.gateway.relay.ZoneWatch;
+import org.ragworttide.gateway.tunnel.TunnelServer;
+import org.ragworttide.gateway.upstream.Upstream;
 import org.ragworttide.gateway.upstream.UpstreamConnector;
 import org.ragworttide.gateway.view.FleetView;
 import reactor.core.publisher.Mono;
@@ -82,6 +87,7 @@
   private final CallerConnections connections;
   private final RelayContext context;
   private final ChangeFeed feed;
+  private final TunnelServer tunnels;
 
   /**
    * Creates a gateway that is not listening yet.
@@ -108,20 +114,27 @@
         new UpstreamConnector(
             loop,
             loops.onChannelClass(SocketChannel.class, loop),
+            settings.peers().getAddress(),
             headerCodec,
             telemetry,
             time::nowMillis);
     ZoneWatch zones =
         new ZoneWatch(view, connector, telemetry.metrics(), settings.zones().mayBeLost() > 0);
     ZoneTraffic traffic = new ZoneTraffic(settings.zone(), settings.zones(), telemetry.metrics());
-    Placement placement = new Placement(view, zones, traffic, settings.zone());
+    TunnelPeers tunnelPeers = new TunnelPeers(FeedMember.zoneKey(settings.zone().value()));
+    UpstreamPaths paths = new UpstreamPaths(view, connector, zones, tunnelPeers, telemetry, time);
+    this.tunnels =
+        new TunnelServer(
+            connector.bootstrap(), paths, this::tunnelTarget, stopAdmission::isStopping, telemetry);
+    feed.setOtherConnections(tunnels);
+    Placement placement = new Placement(view, paths, traffic, settings.zone());
     this.context =
         new RelayContext(
             loop,
             time,
             view,
             headerCodec,
-            connector,
+            paths,
             placement,
             stopAdmission,
             zones,
@@ -136,6 +149,14 @@
             time.nowMillis() + FIRST_CONFIGURATION_MILLIS);
   }
 
+  /** Returns an upstream that the VM reaches and that wants requests from it. */
+  private Optional<Upstream> tunnelTarget(int incarnationKey) {
+    return view.upstream(incarnationKey)
+        .filter(it -> !view.evacuatedZones().contains(it.entry().zone()))
+        .filter(it -> !context.zones().unreachable().contains(it.entry().zone()))
+        .filter(it -> it.load().availability().admitsAsLastResort(time.nowMillis()));
+  }
+
   /** Returns the VM's view of the fleet, for use on the event loop. */
   public FleetView view() {
     return view;
@@ -233,7 +254,7 @@
     if (stopAdmission.areFinalAnswersDue(nowMillis)) {
       connections.endRequests();
     }
-    if (stopAdmission.isExitDue(nowMillis, connections.areAnyOpen())) {
+    if (stopAdmission.isExitDue(nowMillis, connections.areAnyOpen() || tunnels.areAnyOpen())) {
       connections.logUnfinished();
       stopped.run();
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/ChangeFeed.java
@@ -72,6 +72,11 @@
     listener = changeListener;
   }
 
+  /** Sets the handler of connections of other VMs that do not follow this one. */
+  public void setOtherConnections(PeerConnectionHandler handler) {
+    server.setOtherConnections(handler);
+  }
+
   /**
    * Starts to follow other VMs and to serve those that follow this one; must not be called on the
    * event loop.
--- a/gateway/src/main/java/org/ragworttide/gateway/feed/FeedServer.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/FeedServer.java
@@ -59,6 +59,7 @@
   private final Predicate<InetAddress> isMember;
   private final Map<Channel, Sent> sentTo = new HashMap<>();
   private Runnable subscribed = () -> {};
+  private PeerConnectionHandler otherConnections = (ctx, message) -> false;
 
   /** What a follower knows: all changes up to a position and so many retained ones. */
   private record Sent(StorePosition position, long retainedAdditions) {
@@ -105,6 +106,11 @@
     subscribed = callback;
   }
 
+  /** Sets the handler of connections whose first message is no request of a follower. */
+  void setOtherConnections(PeerConnectionHandler handler) {
+    otherConnections = handler;
+  }
+
   /** Sends each follower the changes that it lacks and the status. */
   void send(FeedStatus status) {
     Map<Sent, ByteBuf> encoded = new HashMap<>();
@@ -152,6 +158,9 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf request) {
+      if (!sentTo.containsKey(ctx.channel()) && otherConnections.accept(ctx, request)) {
+        return;
+      }
       int size = request.readableBytes();
       if (size != REQUEST_BYTES && size != REQUEST_BYTES_WITHOUT_ERA) {
         EventLog.log(
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -29,6 +29,7 @@
 import org.ragworttide.coordination.placement.LoadReportSelection;
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.time.TimerService;
+import org.ragworttide.coordination.zones.TunnelPeers;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
 import org.ragworttide.gateway.GatewaySettings;
@@ -108,6 +109,7 @@
   private final StreamDirectory streams;
   private final ColdStarts coldStarts;
   private final ZoneWatch zones;
+  private final TunnelPeers tunnelPeers;
   private final ZoneTraffic traffic;
   private final Counter bytesSent;
   private final Counter bytesReceived;
@@ -157,6 +159,7 @@
     this.streams = context.streams();
     this.coldStarts = context.coldStarts();
     this.zones = context.zones();
+    this.tunnelPeers = context.paths().peers();
     this.traffic = context.traffic();
     this.time = time;
     this.discoveredAtMillis = time.nowMillis();
@@ -231,6 +234,8 @@
       EventLog.log(LogEvent.PEER_HEARD, statement.vm(), sender);
     }
     feed.recordPeerPosition(statement.position());
+    tunnelPeers.recordStatement(
+        member.address(), statement.zoneKey(), statement.unreachableZones(), now);
     view.peers()
         .recordStatement(
             statement.vm(),
@@ -276,6 +281,7 @@
   private void broadcast() {
     long now = time.nowMillis();
     view.peers().expire(now);
+    tunnelPeers.expire(now);
     peers
         .entrySet()
         .removeIf(
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/CrashCheck.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/CrashCheck.java
@@ -58,17 +58,30 @@
 
   /**
    * Records that a connection to the upstream could not be opened. Only a refused one shows that
-   * its process is gone; a VM that is cut off from an upstream sees the same silence as one whose
-   * upstream has lost power.
+   * its process is gone, and only while other upstreams of its zone are reached: a VM that is cut
+   * off from an upstream sees the same as one whose upstream has crashed.
    */
   void recordFailure(ServiceName service, Upstream upstream, ConnectFailure failure) {
     long nowMillis = time.nowMillis();
-    zones.recordFailure(upstream, failure);
+    if (!failure.tunnelled()) {
+      zones.recordFailure(upstream, failure);
+    }
+    if (!failure.isVerdictOnUpstream()
+        || !failure.tunnelled() && zones.isUnreachable(upstream.entry().zone())) {
+      return;
+    }
     placement.outlierDetector(service).recordUnreachable(upstream.entry().id(), nowMillis);
-    if (failure.refused()) {
+    view.recordUnreachable(upstream);
+    if (failure.refused() && failure.tunnelled()) {
       view.recordCrash(upstream, nowMillis);
-    } else {
-      view.recordUnreachable(upstream);
+    } else if (failure.refused() && view.crashes().hasBrokenAnswers(upstream.incarnationKey())) {
+      zones.confirmContact(
+          upstream,
+          reached -> {
+            if (reached) {
+              view.recordCrash(upstream, nowMillis);
+            }
+          });
     }
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -8,6 +8,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -59,6 +61,12 @@
    */
   private static final long ANSWER_START_MILLIS = 500;
 
+  /**
+   * Milliseconds without a byte after which a stream of a zone that has fallen silent is continued
+   * elsewhere: several pauses between events.
+   */
+  private static final long QUIET_STREAM_MILLIS = 300;
+
   /** Milliseconds that must remain until the deadline for another attempt. */
   private static final long MIN_ATTEMPT_MILLIS = 100;
 
@@ -67,6 +75,10 @@
   private final ResponseWriter caller;
   private final CallerResponse response;
   private final Set<UpstreamId> tried = new HashSet<>();
+
+  /** Upstreams to which this VM could not open a connection and no other has been asked to. */
+  private final Deque<Upstream> unreached = new ArrayDeque<>();
+
   private Route route;
   private ServiceName service;
 
@@ -253,6 +265,9 @@
     Optional<Upstream> chosen =
         context.placement().choose(service, version, request.metadata().prompt(), tried, now);
     if (chosen.isEmpty()) {
+      if (reachThroughPeer()) {
+        return;
+      }
       if (version.isPresent() && !context.view().versions().isPresent(service, version.get())) {
         refuseOrAbort(
             Refusal.STREAM_VERSION_GONE,
@@ -271,10 +286,25 @@
     if (chosen.get().load().coldAllowance().isCold(now)) {
       askForPermit(chosen.get());
     } else {
-      attempt(chosen.get());
+      attempt(chosen.get(), false);
     }
   }
 
+  /**
+   * Sends the request through another VM to an upstream to which this VM could not open a
+   * connection; returns whether there is one that another VM may reach.
+   */
+  private boolean reachThroughPeer() {
+    while (!unreached.isEmpty()) {
+      Upstream upstream = unreached.poll();
+      if (context.paths().mayReachThroughPeer(upstream)) {
+        attempt(upstream, true);
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Sends the request to a cold upstream if that is permitted, or else places it again. */
   private void askForPermit(Upstream cold) {
     context
@@ -286,7 +316,7 @@
                 return;
               }
               if (isPermitted && !cold.isRemoved()) {
-                attempt(cold);
+                attempt(cold, false);
               } else {
                 context.telemetry().recordColdRefusal();
                 cold.load().coldAllowance().recordRefusal(context.time().nowMillis());
@@ -295,7 +325,7 @@
             });
   }
 
-  private void attempt(Upstream chosen) {
+  private void attempt(Upstream chosen, boolean throughPeer) {
     long now = context.time().nowMillis();
     Optional<Prompt> prompt = request.metadata().prompt();
     Optional<Upstream> fetchSource = context.placement().fetchSource(service, prompt, chosen, now);
@@ -311,7 +341,7 @@
             prompt,
             fetchSource,
             suspects.parts());
-    attempt = new Attempt(chosen, fetchSource.map(it -> it.entry().address()));
+    attempt = new Attempt(chosen, fetchSource.map(it -> it.entry().address()), throughPeer);
     attempt.begin();
   }
 
@@ -388,24 +418,36 @@
     private final Upstream upstream;
     private final UpstreamId upstreamId;
     private final Optional<InetSocketAddress> fetchSource;
+    private final boolean throughPeer;
     private UpstreamConnection connection;
     private TimerService.Subscription responseTimer = () -> {};
+    private TimerService.Subscription silence = () -> {};
     private ResponseMetadata metadata;
     private HttpResponseStatus status;
     private long sentAtMillis;
+    private long receivedAtMillis;
     private OptionalLong answerBegunAtMillis = OptionalLong.empty();
     private boolean ended;
 
-    private Attempt(Upstream upstream, Optional<InetSocketAddress> fetchSource) {
+    private Attempt(
+        Upstream upstream, Optional<InetSocketAddress> fetchSource, boolean throughPeer) {
       this.upstream = upstream;
       this.fetchSource = fetchSource;
+      this.throughPeer = throughPeer;
       this.upstreamId = upstream.entry().id();
     }
 
     private void begin() {
       tried.add(upstreamId);
       upstream.load().recordStart(context.time().nowMillis());
-      context.connector().connect(upstream, this::connected, this::connectFailed);
+      String requestId = request.metadata().id();
+      if (throughPeer) {
+        context
+            .paths()
+            .connectThroughPeer(upstream, requestId, this::connected, this::connectFailed);
+      } else {
+        context.paths().connect(upstream, requestId, this::connected, this::connectFailed);
+      }
     }
 
     private void connected(UpstreamConnection opened) {
@@ -439,6 +481,9 @@
       upstream.load().availability().recordRequest(sentAtMillis);
       context.placement().recordSent(request.metadata().prompt(), upstream, sentAtMillis);
       connection.send(upstreamRequest(), request.metadata().id(), this);
+      if (route.kind().isRepeatable() && !connection.isTunnelled()) {
+        silence = context.paths().onSilence(upstream, this::zoneSilent);
+      }
       if (route.kind().isRepeatable() && route.targetLatencyMillis() > 0) {
         long timeoutMillis = (long) (route.targetLatencyMillis() * RESPONSE_TIMEOUT_FACTOR);
         responseTimer = context.time().after(timeoutMillis, this::responseTimedOut);
@@ -475,6 +520,24 @@
       }
     }
 
+    /**
+     * Sends a repeatable request again whose connection no longer carries anything, unless its
+     * stream has lately received an event.
+     */
+    private void zoneSilent() {
+      if (ended || done || !context.zones().isSilent(upstream.entry().zone())) {
+        return;
+      }
+      long quietMillis = context.time().nowMillis() - receivedAtMillis;
+      if (metadata != null && quietMillis < QUIET_STREAM_MILLIS) {
+        context.time().after(QUIET_STREAM_MILLIS - quietMillis, this::zoneSilent);
+      } else if (canRetry()) {
+        stop(true);
+        response.reset();
+        place();
+      }
+    }
+
     /** Ends the attempt at the deadline; an upstream that has not responded counts as failed. */
     private void expire() {
       if (!ended && connection != null && metadata == null) {
@@ -498,6 +561,7 @@
     private void end() {
       ended = true;
       responseTimer.cancel();
+      silence.cancel();
       upstream.load().recordEnd();
     }
 
@@ -524,11 +588,14 @@
           .telemetry()
           .recordFailedAttempt(
               request.metadata().id(), upstreamId, failure.reason(), elapsedMillis());
+      if (!failure.tunnelled()) {
+        unreached.add(upstream);
+      }
       unreachableUpstreams++;
       if (unreachableUpstreams < MAX_UNREACHABLE_UPSTREAMS
           && remainingMillis() >= MIN_ATTEMPT_MILLIS) {
         place();
-      } else {
+      } else if (remainingMillis() < MIN_ATTEMPT_MILLIS || !reachThroughPeer()) {
         refuseOrAbort("upstreams unreachable");
       }
     }
@@ -537,7 +604,7 @@
     public void responseStarted(HttpResponse head, ResponseMetadata received) {
       metadata = received;
       status = head.status();
-      context.zones().recordContact(upstream);
+      receivedAtMillis = context.time().nowMillis();
       received
           .load()
           .ifPresent(
@@ -554,6 +621,7 @@
         content.release();
         return;
       }
+      receivedAtMillis = context.time().nowMillis();
       if (answerBegunAtMillis.isEmpty()) {
         answerBegunAtMillis = OptionalLong.of(context.time().nowMillis());
       }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Placement.java
@@ -28,11 +28,12 @@
  * <p>Invariant: it never chooses an upstream that is in an evacuated availability zone, already
  * tried or of another version than a stream that is continued; nor one that is draining, unless
  * only upstreams that have just begun to drain can continue the stream; nor one in a zone that the
- * VM cannot reach while there is another. Confined to the event loop.
+ * VM cannot reach while there is another, nor one in a zone that no other VM reaches either.
+ * Confined to the event loop.
  */
 public final class Placement {
   private final FleetView view;
-  private final ZoneWatch zones;
+  private final UpstreamPaths paths;
   private final ZoneTraffic traffic;
   private final ZoneId ownZone;
   private final SplittableRandom random = new SplittableRandom();
@@ -44,13 +45,13 @@
    * Creates the placement of a VM.
    *
    * @param view the VM's view of the fleet
-   * @param zones the zones that the VM cannot reach
+   * @param paths the ways to upstreams
    * @param traffic the share of requests that leaves the zone
    * @param ownZone the VM's availability zone
    */
-  public Placement(FleetView view, ZoneWatch zones, ZoneTraffic traffic, ZoneId ownZone) {
+  public Placement(FleetView view, UpstreamPaths paths, ZoneTraffic traffic, ZoneId ownZone) {
     this.view = view;
-    this.zones = zones;
+    this.paths = paths;
     this.traffic = traffic;
     this.ownZone = ownZone;
     this.servicePlacement = new ServicePlacement(ownZone, random);
@@ -116,7 +117,7 @@
     }
     OutlierDetector detector = outlierDetector(service);
     Map<UpstreamLoad, Upstream> healthyByLoad = new LinkedHashMap<>();
-    for (Upstream upstream : reachable(view.upstreamsOf(service))) {
+    for (Upstream upstream : paths.reachable(view.upstreamsOf(service))) {
       if (!detector.isEjected(upstream.entry().id(), nowMillis)) {
         healthyByLoad.put(upstream.load(), upstream);
       }
@@ -139,7 +140,7 @@
     OutlierDetector detector = outlierDetector(service);
     List<Upstream> untried = new ArrayList<>();
     List<Upstream> healthy = new ArrayList<>();
-    for (Upstream upstream : reachable(admitted(service, version, nowMillis))) {
+    for (Upstream upstream : paths.reachable(admitted(service, version, nowMillis))) {
       if (!tried.contains(upstream.entry().id())) {
         untried.add(upstream);
         if (!detector.isEjected(upstream.entry().id(), nowMillis)) {
@@ -168,17 +169,6 @@
         : ofVersion;
   }
 
-  /** Returns the upstreams in zones that the VM reaches, or all if none is there. */
-  private List<Upstream> reachable(List<Upstream> upstreams) {
-    Set<ZoneId> unreachable = zones.unreachable();
-    if (unreachable.isEmpty()) {
-      return upstreams;
-    }
-    List<Upstream> reachable =
-        upstreams.stream().filter(it -> !unreachable.contains(it.entry().zone())).toList();
-    return reachable.isEmpty() ? upstreams : reachable;
-  }
-
   private static boolean isOf(SoftwareVersion version, Upstream upstream) {
     return upstream.entry().softwareVersion().equals(version);
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
@@ -7,7 +7,6 @@
 import org.ragworttide.gateway.HeaderCodec;
 import org.ragworttide.gateway.peer.ColdStarts;
 import org.ragworttide.gateway.peer.StreamDirectory;
-import org.ragworttide.gateway.upstream.UpstreamConnector;
 import org.ragworttide.gateway.view.FleetView;
 
 /**
@@ -19,7 +18,7 @@
  * @param time the clock and timers of the event loop
  * @param view the VM's view of the fleet
  * @param headerCodec decodes and encodes headers
- * @param connector opens connections to upstreams
+ * @param paths connects to upstreams
  * @param placement chooses upstreams
  * @param stopAdmission decides which requests may be passed on while the VM is being stopped
  * @param zones finds out which availability zones cannot be reached
@@ -38,7 +37,7 @@
     TimerService time,
     FleetView view,
     HeaderCodec headerCodec,
-    UpstreamConnector connector,
+    UpstreamPaths paths,
     Placement placement,
     StopAdmission stopAdmission,
     ZoneWatch zones,
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
@@ -1,6 +1,8 @@
 package org.ragworttide.gateway.relay;
 
 import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +17,7 @@
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.daemon.log.EventLog;
 import org.ragworttide.daemon.log.LogEvent;
+import org.ragworttide.gateway.tunnel.TunnelReply;
 import org.ragworttide.gateway.upstream.ForeignBytesListener;
 import org.ragworttide.gateway.upstream.Upstream;
 
@@ -110,6 +113,24 @@
     metrics.counter("gateway_cold_refusals").inc();
   }
 
+  /** Records that a request is sent to an upstream through another VM. */
+  void recordTunnelOpened(String requestId, UpstreamId upstream, InetSocketAddress vm) {
+    metrics.counter("gateway_tunnels_opened").inc();
+    log(LogEvent.TUNNEL_OPENED, requestId, upstream, vm);
+  }
+
+  /** Records that a request of another VM is connected to an upstream. */
+  public void recordTunnelServed(String requestId, SocketAddress vm, UpstreamId upstream) {
+    metrics.counter("gateway_tunnels_served").inc();
+    log(LogEvent.TUNNEL_SERVED, requestId, vm, upstream);
+  }
+
+  /** Records that a request of another VM is not connected to an upstream. */
+  public void recordTunnelRefused(String requestId, SocketAddress vm, TunnelReply reply) {
+    metrics.counter("gateway_tunnels_refused;reason=" + reply).inc();
+    log(LogEvent.TUNNEL_REFUSED, requestId, vm, reply);
+  }
+
   void recordAbort(String requestId, String reason, long elapsedMillis) {
     metrics.counter("gateway_aborted").inc();
     log(LogEvent.RELAY_ABORTED, requestId, reason, elapsedMillis);
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/ZoneWatch.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/ZoneWatch.java
@@ -3,9 +3,13 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.id.ZoneId;
 import org.ragworttide.coordination.time.TimerService;
@@ -34,6 +38,9 @@
   private final boolean on;
   private final ZoneReachability zones = new ZoneReachability();
   private final Random random = new Random();
+  private final List<Consumer<ZoneId>> lossListeners = new ArrayList<>();
+  private final Map<ZoneId, List<Consumer<Boolean>>> awaitingContact = new HashMap<>();
+  private LongSupplier clock = () -> 0;
 
   /**
    * Creates a watch.
@@ -53,6 +60,7 @@
 
   /** Starts looking at the checks. */
   public void start(TimerService time) {
+    clock = time::nowMillis;
     if (on) {
       time.every(TICK_MILLIS, () -> step(time.nowMillis()));
     }
@@ -63,7 +71,44 @@
     return zones.unreachable();
   }
 
-  /** Returns the keys of the zones that the VM cannot reach, for other VMs of its zone. */
+  /** Returns whether the VM finds out which zones it cannot reach. */
+  boolean isOn() {
+    return on;
+  }
+
+  /** Returns whether the VM cannot reach the zone. */
+  boolean isUnreachable(ZoneId zone) {
+    return unreachable().contains(zone);
+  }
+
+  /** Returns whether the VM cannot reach the zone and no machine of it refuses connections. */
+  boolean isSilent(ZoneId zone) {
+    return zones.isSilent(zone);
+  }
+
+  /** Adds a listener that receives each zone that the VM cannot reach any more. */
+  void onLoss(Consumer<ZoneId> listener) {
+    lossListeners.add(listener);
+  }
+
+  /**
+   * Finds out whether the VM still reaches the zone of an upstream that has refused a connection,
+   * from the next connection that is opened to another upstream of the zone. Without another one,
+   * or without checks, the zone counts as reached.
+   */
+  void confirmContact(Upstream refusing, Consumer<Boolean> reached) {
+    ZoneId zone = refusing.entry().zone();
+    List<Upstream> others = upstreamsOf(zone);
+    others.remove(refusing);
+    if (!on || others.isEmpty()) {
+      reached.accept(true);
+      return;
+    }
+    awaitingContact.computeIfAbsent(zone, key -> new ArrayList<>()).add(reached);
+    check(others.getFirst());
+  }
+
+  /** Returns the keys of the zones that the VM cannot reach, for other VMs. */
   public List<Integer> unreachableKeys() {
     return unreachable().stream().map(zone -> FeedMember.zoneKey(zone.value())).toList();
   }
@@ -77,51 +122,69 @@
         .map(upstream -> upstream.entry().zone())
         .filter(zone -> FeedMember.zoneKey(zone.value()) == zoneKey)
         .findFirst()
-        .ifPresent(zones::recordSuspicion);
+        .ifPresent(zone -> zones.recordPeerVerdict(zone, clock.getAsLong()));
   }
 
   /** Records that a connection to the upstream could not be opened. */
   void recordFailure(Upstream upstream, ConnectFailure failure) {
+    ZoneId zone = upstream.entry().zone();
+    if (!on) {
+      return;
+    }
     if (failure.refused()) {
-      recordContact(upstream);
-    } else if (on) {
+      zones.recordRefusal(zone, upstream.entry().id());
+    } else {
+      zones.recordSuspicion(zone);
+    }
+  }
+
+  /** Records that a connection to the upstream is not opened within the usual time. */
+  void recordSlow(Upstream upstream) {
+    if (on) {
       zones.recordSuspicion(upstream.entry().zone());
     }
   }
 
-  /** Records that the upstream or its machine has answered. */
+  /** Records that a connection to the upstream was opened. */
   void recordContact(Upstream upstream) {
     ZoneId zone = upstream.entry().zone();
-    if (zones.recordContact(zone)) {
+    if (zones.recordContact(zone, clock.getAsLong())) {
       EventLog.log(LogEvent.ZONE_REACHED, zone, upstream.entry().id());
     }
+    tellContact(zone, true);
+  }
+
+  private void tellContact(ZoneId zone, boolean reached) {
+    List<Consumer<Boolean>> waiting = awaitingContact.remove(zone);
+    if (waiting != null) {
+      waiting.forEach(it -> it.accept(reached));
+    }
   }
 
   private void step(long nowMillis) {
     for (ZoneId zone : zones.endChecks(nowMillis)) {
       metrics.counter("gateway_zones_lost").inc();
       EventLog.log(LogEvent.ZONE_UNREACHABLE, zone);
+      tellContact(zone, false);
+      lossListeners.forEach(it -> it.accept(zone));
+    }
+    for (ZoneReachability.Check check : zones.startChecks(nowMillis)) {
+      upstreamsOf(check.zone()).stream().limit(check.upstreams()).forEach(this::check);
     }
-    zones.startChecks(nowMillis).forEach(this::check);
   }
 
-  private void check(ZoneReachability.Check check) {
+  /** Returns the upstreams of the zone in random order. */
+  private List<Upstream> upstreamsOf(ZoneId zone) {
     List<Upstream> upstreams =
         new ArrayList<>(
-            view.upstreams().stream()
-                .filter(it -> it.entry().zone().equals(check.zone()))
-                .toList());
+            view.upstreams().stream().filter(it -> it.entry().zone().equals(zone)).toList());
     Collections.shuffle(upstreams, random);
-    for (Upstream upstream : upstreams.subList(0, Math.min(check.upstreams(), upstreams.size()))) {
-      metrics.counter("gateway_zone_checks").inc();
-      connector.check(
-          upstream,
-          () -> recordContact(upstream),
-          failure -> {
-            if (failure.refused()) {
-              recordContact(upstream);
-            }
-          });
-    }
+    return upstreams;
+  }
+
+  private void check(Upstream upstream) {
+    metrics.counter("gateway_zone_checks").inc();
+    connector.check(
+        upstream, () -> recordContact(upstream), failure -> recordFailure(upstream, failure));
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
@@ -140,6 +140,11 @@
   /** Closes the idle connections; a busy connection is closed when it becomes idle. */
   public void close() {
     closed = true;
+    closeIdle();
+  }
+
+  /** Closes the idle connections. */
+  public void closeIdle() {
     while (!idle.isEmpty()) {
       idle.pop().close();
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -73,6 +73,7 @@
   private boolean attributable = true;
   private boolean refusalsHaveIds;
   private boolean detached;
+  private boolean tunnelled;
   private boolean keepAlive;
   private boolean failed;
   private boolean bodySent;
@@ -154,8 +155,18 @@
             TimeUnit.MILLISECONDS);
   }
 
+  /** Records that the connection leads through another VM, which connects it for one request. */
+  void setTunnelled() {
+    tunnelled = true;
+  }
+
+  /** Returns whether the connection leads through another VM. */
+  public boolean isTunnelled() {
+    return tunnelled;
+  }
+
   /** Keeps the connection, which has had no request yet, for later requests. */
-  void keepIdle() {
+  public void keepIdle() {
     idleSinceMillis = clock.getAsLong();
     upstream.putIdle(this);
   }
@@ -272,7 +283,7 @@
     if (trailingBytes) {
       foreignBytes.connectionDiscarded(upstream.entry().id(), "bytes received after a response");
     }
-    boolean reusable = keepAlive && attributable && !trailingBytes;
+    boolean reusable = keepAlive && attributable && !trailingBytes && !tunnelled;
     if (reusable && bodySent && connected) {
       upstream.putIdle(this);
     } else if (bodySent || !channel.isActive()) {
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
@@ -8,13 +8,17 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.ragworttide.gateway.HeaderCodec;
+import org.ragworttide.gateway.tunnel.TunnelConnector;
+import org.ragworttide.gateway.tunnel.TunnelRequest;
 
 /**
- * Provides connections to upstreams and reuses idle ones.
+ * Provides connections to upstreams, reuses idle ones and opens others through other VMs.
  *
  * <p>Confined to the event loop.
  */
@@ -34,14 +38,20 @@
   private static final int KEEP_ALIVE_SECONDS = 1;
 
   private final Bootstrap bootstrap;
+  private final TunnelConnector tunnels;
   private final HeaderCodec headerCodec;
   private final ForeignBytesListener foreignBytes;
   private final LongSupplier clock;
 
-  /** Creates a connector whose connections use the event loop. */
+  /**
+   * Creates a connector whose connections use the event loop.
+   *
+   * @param own the address by which other VMs know this one
+   */
   public UpstreamConnector(
       EventLoop loop,
       Class<? extends Channel> type,
+      InetAddress own,
       HeaderCodec headerCodec,
       ForeignBytesListener foreignBytes,
       LongSupplier clock) {
@@ -63,20 +73,17 @@
           .option(EpollChannelOption.TCP_KEEPINTVL, KEEP_ALIVE_SECONDS)
           .option(EpollChannelOption.TCP_KEEPCNT, 2);
     }
+    this.tunnels = new TunnelConnector(bootstrap, own);
   }
 
-  /**
-   * Passes an idle or new connection to {@code opened}, or the reason of a failure to {@code
-   * failed}.
-   */
-  public void connect(
-      Upstream upstream, Consumer<UpstreamConnection> opened, Consumer<ConnectFailure> failed) {
-    Optional<UpstreamConnection> idle = upstream.takeIdle(clock.getAsLong());
-    if (idle.isPresent()) {
-      opened.accept(idle.get());
-    } else {
-      open(upstream, opened, failed);
-    }
+  /** Returns a copy of the options of connections to upstreams, without a handler. */
+  public Bootstrap bootstrap() {
+    return bootstrap.clone();
+  }
+
+  /** Returns an idle connection to the upstream, empty if there is none. */
+  public Optional<UpstreamConnection> takeIdle(Upstream upstream) {
+    return upstream.takeIdle(clock.getAsLong());
   }
 
   /**
@@ -93,10 +100,10 @@
         failed);
   }
 
-  private void open(
+  /** Passes a new connection to {@code opened}, or a failure to {@code failed}. */
+  public void open(
       Upstream upstream, Consumer<UpstreamConnection> opened, Consumer<ConnectFailure> failed) {
-    UpstreamConnection connection =
-        new UpstreamConnection(upstream, headerCodec, foreignBytes, clock);
+    UpstreamConnection connection = newConnection(upstream);
     ChannelFuture connecting =
         bootstrap
             .clone()
@@ -117,4 +124,32 @@
           }
         });
   }
+
+  /**
+   * Passes a new connection through another VM, which carries one request, to {@code opened}, or a
+   * failure to {@code failed}.
+   *
+   * @param vm the address on which the other VM listens
+   * @param requestId the id of the caller's request, for the other VM's logs
+   * @return the future of the connection's end
+   */
+  public ChannelFuture openThrough(
+      InetSocketAddress vm,
+      Upstream upstream,
+      String requestId,
+      Consumer<UpstreamConnection> opened,
+      Consumer<ConnectFailure> failed) {
+    UpstreamConnection connection = newConnection(upstream);
+    connection.setTunnelled();
+    return tunnels.open(
+        vm,
+        new TunnelRequest(upstream.incarnationKey(), requestId),
+        connection::addTo,
+        () -> opened.accept(connection),
+        reply -> failed.accept(ConnectFailure.of(reply)));
+  }
+
+  private UpstreamConnection newConnection(Upstream upstream) {
+    return new UpstreamConnection(upstream, headerCodec, foreignBytes, clock);
+  }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -310,6 +310,11 @@
     }
   }
 
+  /** Returns the upstream with the key of its incarnation, empty if none is present. */
+  public Optional<Upstream> upstream(int incarnationKey) {
+    return Optional.ofNullable(byIncarnation.get(incarnationKey));
+  }
+
   /** Returns all upstreams. */
   public Collection<Upstream> upstreams() {
     return Collections.unmodifiableCollection(upstreams.values());
