--- a/gateway/src/main/java/org/ragworttide/gateway/relay/CallerResponse.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/CallerResponse.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
+import org.ragworttide.coordination.streams.EventId;
 import org.ragworttide.daemon.relay.HeaderFilter;
 
 /**
@@ -21,7 +22,8 @@
  * complete, so that a truncated one can be replaced; a stream is passed on event by event.
  *
  * <p>Invariant: the caller receives the status and headers of one upstream only and, of a stream,
- * complete events only. Confined to the event loop.
+ * complete events only, of which none comes again in what another upstream continues. Confined to
+ * the event loop.
  */
 final class CallerResponse {
   /** Largest response that is buffered; a longer one is passed on as it arrives. */
@@ -55,10 +57,15 @@
     return begun;
   }
 
-  Optional<String> lastEventId() {
+  Optional<EventId> lastEventId() {
     return events.lastId();
   }
 
+  /** Expects a stream that goes on after an event that the caller has received earlier. */
+  void continueAfter(EventId last) {
+    events.continueAfter(last);
+  }
+
   HttpResponse head() {
     return head;
   }
@@ -74,12 +81,12 @@
     }
   }
 
-  /** Adds a chunk of the body; returns false if a stream has sent no event for too many bytes. */
-  boolean add(ByteBuf chunk) {
+  /** Adds a chunk of the body; returns the reason if its stream cannot go on with it. */
+  Optional<String> add(ByteBuf chunk) {
     if (stream) {
       events.add(chunk);
       sendBody(events.takeEvents());
-      return !events.isEventTooLong();
+      return streamError();
     }
     if (begun) {
       sendBody(chunk);
@@ -89,7 +96,16 @@
         sendBody(buffered.readRetainedSlice(buffered.readableBytes()));
       }
     }
-    return true;
+    return Optional.empty();
+  }
+
+  private Optional<String> streamError() {
+    if (events.isOutOfOrder()) {
+      return Optional.of("event does not follow the last one of the stream");
+    }
+    return events.isEventTooLong()
+        ? Optional.of("no event within " + EventSplitter.MAX_EVENT_BYTES + " bytes")
+        : Optional.empty();
   }
 
   /**
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/EventSplitter.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/EventSplitter.java
@@ -5,18 +5,21 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.ragworttide.coordination.streams.EventId;
 
 /**
  * Splits a stream of server-sent events into complete events and keeps the id of the last one.
  *
  * <p>Invariants: the returned bytes end at the end of an event, so a stream that is interrupted in
- * the middle of an event can be continued; only the incomplete event is kept, however long the
- * stream is. Confined to one thread.
+ * the middle of an event can be continued; events of a continuation are returned only while their
+ * ids follow the last one; only the incomplete event is kept, however long the stream is. Confined
+ * to one thread.
  */
 final class EventSplitter {
   /** Largest incomplete event: a thousand times a usual one. */
   static final int MAX_EVENT_BYTES = 256 * 1_024;
 
+  private static final String ID_FIELD = "id:";
   private static final byte LINE_FEED = '\n';
   private static final byte CARRIAGE_RETURN = '\r';
 
@@ -24,7 +27,12 @@
   private ByteBuf pending;
   private int scanned;
   private boolean lineEmpty = true;
-  private Optional<String> lastId = Optional.empty();
+  private Optional<EventId> lastId = Optional.empty();
+
+  /** The id that the next event has to follow, empty unless the stream is being continued. */
+  private Optional<EventId> continuedAfter = Optional.empty();
+
+  private boolean outOfOrder;
 
   EventSplitter(ByteBufAllocator allocator) {
     this.allocator = allocator;
@@ -37,9 +45,14 @@
     chunk.release();
   }
 
+  /** Expects a continuation of a stream of which the event with the id was received elsewhere. */
+  void continueAfter(EventId last) {
+    continuedAfter = Optional.of(last);
+  }
+
   /**
    * Removes and returns all complete events; the returned buffer, which the caller owns, is empty
-   * if there is none.
+   * if there is none, or if one of them does not follow.
    */
   ByteBuf takeEvents() {
     int end = 0;
@@ -64,7 +77,11 @@
     pending = allocator.buffer();
     pending.writeBytes(events, events.readerIndex() + end, scanned);
     events.writerIndex(events.readerIndex() + end);
-    recordLastId(events);
+    recordIds(events);
+    if (outOfOrder) {
+      events.release();
+      return Unpooled.EMPTY_BUFFER;
+    }
     return events;
   }
 
@@ -78,15 +95,22 @@
     return pending.readableBytes() > MAX_EVENT_BYTES;
   }
 
+  /** Returns whether an event of a continuation does not follow the last one. */
+  boolean isOutOfOrder() {
+    return outOfOrder;
+  }
+
   /** Discards the incomplete event, which the next attempt sends again. */
   void discardPartialEvent() {
     pending.clear();
     scanned = 0;
     lineEmpty = true;
+    outOfOrder = false;
+    continuedAfter = lastId.or(() -> continuedAfter);
   }
 
   /** Returns the id of the last complete event that had one. */
-  Optional<String> lastId() {
+  Optional<EventId> lastId() {
     return lastId;
   }
 
@@ -94,11 +118,18 @@
     pending.release();
   }
 
-  private void recordLastId(ByteBuf events) {
+  private void recordIds(ByteBuf events) {
+    Optional<EventId> last = lastId;
     for (String line : events.toString(StandardCharsets.UTF_8).split("\r?\n")) {
-      if (line.startsWith("id:")) {
-        lastId = Optional.of(line.substring("id:".length()).strip());
+      if (line.startsWith(ID_FIELD)) {
+        EventId id = new EventId(line.substring(ID_FIELD.length()).strip());
+        if (continuedAfter.isPresent()) {
+          outOfOrder |= !id.mayFollow(continuedAfter.get());
+          continuedAfter = Optional.of(id);
+        }
+        last = Optional.of(id);
       }
     }
+    lastId = outOfOrder ? lastId : last;
   }
 }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -22,6 +22,7 @@
 import org.ragworttide.coordination.quarantine.Admission;
 import org.ragworttide.coordination.quarantine.CrashCause;
 import org.ragworttide.coordination.quarantine.CrashSuspicions;
+import org.ragworttide.coordination.streams.EventId;
 import org.ragworttide.coordination.streams.SoftwareVersion;
 import org.ragworttide.coordination.streams.StreamId;
 import org.ragworttide.coordination.time.TimerService;
@@ -133,9 +134,12 @@
     if (refuseIfStopping()) {
       return;
     }
-    if (route.kind().isStream() && request.metadata().continuation().isPresent()) {
-      new StreamPin(context, route, service)
-          .find(request.metadata().continuation().get(), this::continueAt);
+    Optional<RequestMetadata.Continuation> continuation = request.metadata().continuation();
+    if (route.kind().isStream() && continuation.isPresent()) {
+      if (route.kind() == RouteKind.RESUMABLE_STREAM) {
+        response.continueAfter(new EventId(continuation.get().lastEventId()));
+      }
+      new StreamPin(context, route, service).find(continuation.get(), this::continueAt);
     } else {
       place();
     }
@@ -506,7 +510,7 @@
               remainingMillis,
               organisation.map(Organisation::name),
               priority,
-              response.lastEventId(),
+              response.lastEventId().map(EventId::value),
               fetchSource);
       return request.toUpstream(
           context.headerCodec().toUpstream(request.http().headers(), forwardedMetadata));
@@ -625,9 +629,10 @@
       if (answerBegunAtMillis.isEmpty()) {
         answerBegunAtMillis = OptionalLong.of(context.time().nowMillis());
       }
-      if (!response.add(content)) {
+      Optional<String> error = response.add(content);
+      if (error.isPresent()) {
         connection.cancel();
-        responseFailed("no event within " + EventSplitter.MAX_EVENT_BYTES + " bytes");
+        responseFailed(error.get());
         return;
       }
       if (!caller.isWritable()) {
--- a/gateway/src/test/java/org/ragworttide/gateway/relay/EventSplitterTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/relay/EventSplitterTest.java
@@ -11,11 +11,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.ragworttide.coordination.streams.EventId;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests that streams are split into complete events only. */
 public class EventSplitterTest {
-  private final EventSplitter splitter = new EventSplitter(UnpooledByteBufAllocator.DEFAULT);
+  private EventSplitter splitter;
+
+  /** Creates a splitter that has received nothing. */
+  @BeforeMethod
+  public void createSplitter() {
+    splitter = new EventSplitter(UnpooledByteBufAllocator.DEFAULT);
+  }
 
   private String add(String chunk) {
     splitter.add(Unpooled.copiedBuffer(chunk, StandardCharsets.UTF_8));
@@ -28,17 +36,17 @@
   @Test
   public void onlyCompleteEventsAreReturned() {
     assertEquals(add("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
-    assertEquals(splitter.lastId(), Optional.of("1"));
+    assertEquals(splitter.lastId(), Optional.of(new EventId("1")));
     assertEquals(add("ta: b\n"), "");
     assertEquals(add("\n"), "id: 2\ndata: b\n\n");
-    assertEquals(splitter.lastId(), Optional.of("2"));
+    assertEquals(splitter.lastId(), Optional.of(new EventId("2")));
     assertFalse(splitter.hasPartialEvent());
   }
 
   @Test
   public void carriageReturnIsPartOfTheLineEnd() {
     assertEquals(add("id: 7\r\ndata: a\r\n\r\n"), "id: 7\r\ndata: a\r\n\r\n");
-    assertEquals(splitter.lastId(), Optional.of("7"));
+    assertEquals(splitter.lastId(), Optional.of(new EventId("7")));
   }
 
   @Test
@@ -49,6 +57,41 @@
     assertEquals(add("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
   }
 
+  /** Guards against events that come again where another upstream continues the stream. */
+  @Test
+  public void continuationEndsBeforeAnEventThatDoesNotFollow() {
+    assertEquals(
+        add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    splitter.discardPartialEvent();
+    assertEquals(add("id: 2\ndata: b\n\n"), "");
+    assertTrue(splitter.isOutOfOrder());
+    assertEquals(splitter.lastId(), Optional.of(new EventId("2")));
+    splitter.discardPartialEvent();
+    assertEquals(add("id: 4\ndata: d\n\n"), "id: 4\ndata: d\n\n");
+    assertFalse(splitter.isOutOfOrder());
+    assertEquals(add("id: 3\ndata: c\n\n"), "");
+    assertTrue(splitter.isOutOfOrder());
+  }
+
+  /** Guards against a continuation that sends what its caller had before. */
+  @Test
+  public void continuationFollowsWhatTheCallerReceivedEarlier() {
+    splitter.continueAfter(new EventId("5"));
+    splitter.discardPartialEvent();
+    assertEquals(add("id: 5\ndata: e\n\n"), "");
+    assertTrue(splitter.isOutOfOrder());
+    splitter.discardPartialEvent();
+    assertEquals(add("id: 6\ndata: f\n\n"), "id: 6\ndata: f\n\n");
+  }
+
+  /** The order within one answer is that of its upstream, whose ids need not be numbers. */
+  @Test
+  public void answerOfOneUpstreamIsReturnedAsItIs() {
+    assertEquals(add("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+    assertEquals(add("id: 1\ndata: a\n\n"), "id: 1\ndata: a\n\n");
+    assertFalse(splitter.isOutOfOrder());
+  }
+
   @Test
   public void singleByteChunksGiveTheSameEvents() {
     StringBuilder all = new StringBuilder();
@@ -56,7 +99,7 @@
       all.append(add(String.valueOf(letter)));
     }
     assertEquals(all.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-    assertEquals(splitter.lastId(), Optional.of("2"));
+    assertEquals(splitter.lastId(), Optional.of(new EventId("2")));
   }
 
   /** Guards against a stream that keeps all events that it has passed on until its end. */
