--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetViewUpdater.java
@@ -61,10 +61,7 @@
 
   /** Adds or updates an upstream that has published its entry. */
   public void putUpstream(UpstreamEntry entry) {
-    TimerService.Subscription removal = pendingRemovals.remove(entry.id());
-    if (removal != null) {
-      removal.cancel();
-    }
+    cancelRemoval(entry.id());
     view.put(entry, time.nowMillis());
     EventLog.log(
         LogEvent.UPSTREAM_PUT,
@@ -182,8 +179,15 @@
     catchingUp = false;
   }
 
+  private void cancelRemoval(UpstreamId id) {
+    TimerService.Subscription removal = pendingRemovals.remove(id);
+    if (removal != null) {
+      removal.cancel();
+    }
+  }
+
   private void remove(UpstreamId id, String reason) {
-    pendingRemovals.remove(id);
+    cancelRemoval(id);
     view.remove(id, time.nowMillis());
     EventLog.log(LogEvent.UPSTREAM_REMOVED, id, reason);
   }
--- a/gateway/src/test/java/org/ragworttide/gateway/view/FleetViewUpdaterTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/view/FleetViewUpdaterTest.java
@@ -84,6 +84,20 @@
     assertTrue(view.availableUpstreams(SERVICE).isEmpty());
   }
 
+  /** Guards against the removal of an upstream that has published its entry again. */
+  @Test
+  public void upstreamThatReturnsAfterItsRemovalStays() {
+    FleetView view = new FleetView();
+    FleetViewUpdater updater = new FleetViewUpdater(view, time);
+    updater.putUpstream(entry(false, 1));
+    updater.withdrawUpstream(ID, 2_000);
+    updater.withdrawUpstream(ID, 0);
+    assertTrue(view.availableUpstreams(SERVICE).isEmpty());
+    updater.putUpstream(entry(false, 1));
+    time.advance(5_000);
+    assertEquals(view.availableUpstreams(SERVICE).size(), 1);
+  }
+
   @Test
   public void upstreamWithdrawnAfterTheOutageIsRemovedAtOnce() {
     FleetView view = new FleetView();
