--- a/coordination/src/main/java/org/ragworttide/coordination/feed/ChangeLog.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/feed/ChangeLog.java
@@ -97,13 +97,19 @@
     ordered.sort(Comparator.comparingLong(Change::revision));
     List<Change> applied = new ArrayList<>();
     for (Change change : ordered) {
-      if (put(change, nowMillis) && retained.confirm(change)) {
+      boolean isForgotten = !batch.listing() && isDeletionForgotten(change);
+      if (!isForgotten && put(change, nowMillis) && retained.confirm(change)) {
         applied.add(change);
       }
     }
     return applied;
   }
 
+  /** Returns whether the item of an old change has been deleted since, and the deletion dropped. */
+  private boolean isDeletionForgotten(Change change) {
+    return change.revision() <= oldestKnownRevision && !entries.containsKey(change.key());
+  }
+
   /** Replaces all entries by a listing of a later era, and keeps what is newer than its items. */
   private List<Change> startEra(ChangeBatch listing, long nowMillis) {
     Map<String, RetainedChange> known = new LinkedHashMap<>();
--- a/coordination/src/test/java/org/ragworttide/coordination/feed/ChangeLogTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/feed/ChangeLogTest.java
@@ -105,6 +105,18 @@
     assertEquals(log.changesAfter(at(11), 0).changes().size(), ChangeLog.MAX_DELETIONS);
   }
 
+  /** Guards against a deleted item that a VM with older knowledge brings back. */
+  @Test
+  public void itemWhoseDeletionIsForgottenDoesNotReturn() {
+    List<Change> deletions = new ArrayList<>();
+    deletions.add(Change.deletion("a", 11, 0));
+    for (int i = 0; i < ChangeLog.MAX_DELETIONS; i++) {
+      deletions.add(Change.deletion("gone " + i, 12 + i, 0));
+    }
+    log.apply(ChangeBatch.changes(at(10), 11 + ChangeLog.MAX_DELETIONS, deletions), 0);
+    assertEquals(keys(apply(2, 10, Change.put("a", 3, VALUE))), List.of());
+  }
+
   private List<Change> apply(long after, long revision, Change change) {
     return log.apply(ChangeBatch.changes(at(after), revision, List.of(change)), 0);
   }
