--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -641,7 +641,19 @@
     }
 
     private boolean canPassOn() {
-      return !metadata.notRun() && !isUnverifiedSuccess() && !isFailedContinuation();
+      return !metadata.notRun()
+          && !isUnverifiedSuccess()
+          && !isFailedContinuation()
+          && !isReplaced();
+    }
+
+    /**
+     * Returns whether the caller receives another response instead, whatever the body is: one whose
+     * status must not guarantee that the request has not run, or that of another upstream.
+     */
+    private boolean isReplaced() {
+      return status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)
+          || guaranteesNotRun() && !route.kind().isRepeatable();
     }
 
     private boolean isUnverifiedSuccess() {
@@ -734,14 +746,17 @@
           || status.equals(HttpResponseStatus.REQUEST_TIMEOUT);
     }
 
+    /** Returns whether callers take the status for a guarantee that the request has not run. */
+    private boolean guaranteesNotRun() {
+      return impliesNotRun() || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
     private void handleServerError() {
-      boolean statusImpliesNotRun =
-          impliesNotRun() || status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE);
       recordOutcome(false, "returned " + status);
       if (canRetry()) {
         response.reset();
         place();
-      } else if (statusImpliesNotRun && !route.kind().isRepeatable()) {
+      } else if (guaranteesNotRun() && !route.kind().isRepeatable()) {
         refuse(
             Refusal.UPSTREAM_FAILED,
             "upstream returned " + status + " without marking the request as not run");
