--- a/coordination/src/main/java/org/ragworttide/coordination/streams/EventId.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/streams/EventId.java
@@ -16,6 +16,9 @@
   /** Digits that fit into a long. */
   private static final Pattern WHOLE_NUMBER = Pattern.compile("\\d{1,18}");
 
+  /** Characters that any header carries unchanged. */
+  private static final Pattern PRINTABLE = Pattern.compile("[\\x20-\\x7e]+");
+
   /**
    * Returns whether an event with this id may follow the last one that was passed on, where an
    * upstream continues what another one began.
@@ -26,6 +29,14 @@
         : !value.equals(last.value);
   }
 
+  /**
+   * Returns whether a request can name the event to an upstream; an empty id stands for the
+   * beginning of a stream.
+   */
+  public boolean isNameable() {
+    return PRINTABLE.matcher(value).matches();
+  }
+
   private boolean isNumber() {
     return WHOLE_NUMBER.matcher(value).matches();
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/EventSplitter.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/EventSplitter.java
@@ -20,6 +20,7 @@
   static final int MAX_EVENT_BYTES = 256 * 1_024;
 
   private static final String ID_FIELD = "id:";
+  private static final String DATA_FIELD = "data";
   private static final byte LINE_FEED = '\n';
   private static final byte CARRIAGE_RETURN = '\r';
 
@@ -109,7 +110,10 @@
     continuedAfter = lastId.or(() -> continuedAfter);
   }
 
-  /** Returns the id of the last complete event that had one. */
+  /**
+   * Returns the id of the last complete event, empty if there is none or if it has no id by which
+   * an upstream could go on after it.
+   */
   Optional<EventId> lastId() {
     return lastId;
   }
@@ -120,16 +124,27 @@
 
   private void recordIds(ByteBuf events) {
     Optional<EventId> last = lastId;
-    for (String line : events.toString(StandardCharsets.UTF_8).split("\r?\n")) {
+    Optional<EventId> id = Optional.empty();
+    boolean hasData = false;
+    for (String line : events.toString(StandardCharsets.UTF_8).split("\r?\n", -1)) {
       if (line.startsWith(ID_FIELD)) {
-        EventId id = new EventId(line.substring(ID_FIELD.length()).strip());
-        if (continuedAfter.isPresent()) {
-          outOfOrder |= !id.mayFollow(continuedAfter.get());
-          continuedAfter = Optional.of(id);
-        }
-        last = Optional.of(id);
+        id = Optional.of(new EventId(line.substring(ID_FIELD.length()).strip()));
+        checkOrder(id.get());
+      } else if (line.startsWith(DATA_FIELD)) {
+        hasData = true;
+      } else if (line.isEmpty()) {
+        last = id.isPresent() || hasData ? id.filter(EventId::isNameable) : last;
+        id = Optional.empty();
+        hasData = false;
       }
     }
     lastId = outOfOrder ? lastId : last;
   }
+
+  private void checkOrder(EventId id) {
+    if (continuedAfter.isPresent()) {
+      outOfOrder |= !id.mayFollow(continuedAfter.get());
+      continuedAfter = Optional.of(id);
+    }
+  }
 }
