--- a/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseDecoder.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/upstream/ResponseDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.epoll.EpollTcpInfo;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
@@ -139,6 +140,23 @@
     }
   }
 
+  /**
+   * Returns the milliseconds since the upstream's system last acknowledged anything, 0 if it has
+   * acknowledged all sent bytes.
+   */
+  public static long unacknowledgedMillis(Channel channel) {
+    if (!(channel instanceof EpollSocketChannel socket) || !socket.isOpen()) {
+      return 0;
+    }
+    try {
+      EpollTcpInfo info = socket.tcpInfo();
+      return info.unacked() == 0 ? 0 : info.lastAckRecv();
+    } catch (ChannelException e) {
+      EventLog.log(LogEvent.CONNECTION_STATE_UNKNOWN, channel.remoteAddress(), e.getMessage());
+      return 0;
+    }
+  }
+
   /** Rejects a line without a colon after its name, of which the decoder would drop the rest. */
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -61,6 +61,12 @@
   /** Longest time for which an abandoned response is awaited if its request has no deadline. */
   private static final long MAX_DETACHED_MILLIS = 60_000;
 
+  /**
+   * Milliseconds without an acknowledgement after which a request is given up: less than the
+   * connection's own timeout, since no part of it has arrived for all that is known.
+   */
+  private static final long UNACKNOWLEDGED_TIMEOUT_MILLIS = 2_000;
+
   private final Upstream upstream;
   private final HeaderCodec headerCodec;
   private final ForeignBytesListener foreignBytes;
@@ -112,6 +118,25 @@
     interimResponses = 0;
     decoder.expectResponse(request.method());
     channel.writeAndFlush(request).addListener(this::recordSent);
+    checkAcknowledgementAfter(UNACKNOWLEDGED_TIMEOUT_MILLIS, receiver);
+  }
+
+  private void checkAcknowledgementAfter(long delayMillis, AttemptListener receiver) {
+    channel
+        .eventLoop()
+        .schedule(() -> checkAcknowledgement(receiver), delayMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void checkAcknowledgement(AttemptListener receiver) {
+    if (listener != receiver) {
+      return;
+    }
+    long silentMillis = ResponseDecoder.unacknowledgedMillis(channel);
+    if (silentMillis >= UNACKNOWLEDGED_TIMEOUT_MILLIS) {
+      fail("request not acknowledged");
+    } else if (silentMillis > 0 || !bodySent) {
+      checkAcknowledgementAfter(UNACKNOWLEDGED_TIMEOUT_MILLIS - silentMillis, receiver);
+    }
   }
 
   private void recordSent(Future<? super Void> sent) {
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
@@ -30,13 +30,18 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
   /**
-   * Milliseconds for which sent bytes may stay unacknowledged: several retransmissions at 200 ms.
+   * Milliseconds for which sent bytes or keep-alive probes may stay unacknowledged, or for which an
+   * upstream may accept no further bytes. Linux gives up at the first probe that is due later, not
+   * at {@code TCP_KEEPCNT}: only a silence that outlasts three probes ends a connection.
    */
-  private static final int UNACKNOWLEDGED_TIMEOUT_MILLIS = 1_500;
+  private static final int SILENCE_TIMEOUT_MILLIS = 3_500;
 
   /** Seconds without traffic before the first keep-alive probe, and between probes. */
   private static final int KEEP_ALIVE_SECONDS = 1;
 
+  /** Probes after which a system that ignores the timeout for probes gives up. */
+  private static final int KEEP_ALIVE_PROBES = 3;
+
   private final Bootstrap bootstrap;
   private final TunnelConnector tunnels;
   private final HeaderCodec headerCodec;
@@ -68,10 +73,10 @@
             .option(ChannelOption.SO_KEEPALIVE, true);
     if (EpollSocketChannel.class.isAssignableFrom(type)) {
       bootstrap
-          .option(EpollChannelOption.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MILLIS)
+          .option(EpollChannelOption.TCP_USER_TIMEOUT, SILENCE_TIMEOUT_MILLIS)
           .option(EpollChannelOption.TCP_KEEPIDLE, KEEP_ALIVE_SECONDS)
           .option(EpollChannelOption.TCP_KEEPINTVL, KEEP_ALIVE_SECONDS)
-          .option(EpollChannelOption.TCP_KEEPCNT, 2);
+          .option(EpollChannelOption.TCP_KEEPCNT, KEEP_ALIVE_PROBES);
     }
     this.tunnels = new TunnelConnector(bootstrap, own);
   }
