--- a/gateway/src/main/java/org/ragworttide/gateway/tunnel/TunnelServer.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/tunnel/TunnelServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
@@ -40,6 +41,12 @@
   /** Tunnels that a VM carries, which take two connections each. */
   static final int MAX_TUNNELS = 512;
 
+  /**
+   * Milliseconds for which the asking VM may accept or acknowledge nothing: longer than a caller
+   * may, for whose sake that VM does not read.
+   */
+  private static final int REQUESTER_TIMEOUT_MILLIS = 6_000;
+
   /** Bytes that wait for a slow end of a tunnel when reading from the other end stops. */
   private static final WriteBufferWaterMark WAITING_BYTES =
       new WriteBufferWaterMark(8 * 1_024, 32 * 1_024);
@@ -103,6 +110,7 @@
     ctx.pipeline().replace(ctx.handler(), "requester", tunnel.requesterHandler());
     requester.config().setAutoRead(false);
     requester.config().setWriteBufferWaterMark(WAITING_BYTES);
+    requester.config().setOption(EpollChannelOption.TCP_USER_TIMEOUT, REQUESTER_TIMEOUT_MILLIS);
     connect(tunnel, upstream.get(), request);
   }
 
