--- a/gateway/src/main/java/org/ragworttide/gateway/tunnel/TunnelServer.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/tunnel/TunnelServer.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelConfig;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
@@ -47,6 +48,9 @@
    */
   private static final int REQUESTER_TIMEOUT_MILLIS = 6_000;
 
+  /** Seconds without traffic before the asking VM is probed, and between probes. */
+  private static final int KEEP_ALIVE_SECONDS = 1;
+
   /** Bytes that wait for a slow end of a tunnel when reading from the other end stops. */
   private static final WriteBufferWaterMark WAITING_BYTES =
       new WriteBufferWaterMark(8 * 1_024, 32 * 1_024);
@@ -110,10 +114,17 @@
     ctx.pipeline().replace(ctx.handler(), "requester", tunnel.requesterHandler());
     requester.config().setAutoRead(false);
     requester.config().setWriteBufferWaterMark(WAITING_BYTES);
-    requester.config().setOption(EpollChannelOption.TCP_USER_TIMEOUT, REQUESTER_TIMEOUT_MILLIS);
+    detectLoss(requester.config());
     connect(tunnel, upstream.get(), request);
   }
 
+  private static void detectLoss(ChannelConfig requester) {
+    requester.setOption(ChannelOption.SO_KEEPALIVE, true);
+    requester.setOption(EpollChannelOption.TCP_KEEPIDLE, KEEP_ALIVE_SECONDS);
+    requester.setOption(EpollChannelOption.TCP_KEEPINTVL, KEEP_ALIVE_SECONDS);
+    requester.setOption(EpollChannelOption.TCP_USER_TIMEOUT, REQUESTER_TIMEOUT_MILLIS);
+  }
+
   private void connect(Tunnel tunnel, Upstream upstream, TunnelRequest request) {
     UpstreamPaths.Connecting attempt =
         paths.beginConnecting(
