--- a/coordination/src/test/java/org/ragworttide/coordination/zones/ZoneReachabilityFleetTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/zones/ZoneReachabilityFleetTest.java
@@ -9,24 +9,14 @@
 import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.SplittableRandom;
-import org.ragworttide.coordination.id.UpstreamId;
 import org.ragworttide.coordination.id.ZoneId;
-import org.ragworttide.coordination.placement.OutlierDetector;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Replays fleets of VMs that lose the way to the upstreams of an availability zone. */
 public class ZoneReachabilityFleetTest {
-  private static final long TICK_MILLIS = 10;
-  private static final long STATEMENT_MILLIS = 150;
-  private static final int SMALL_FLEET_VMS = 16;
-  private static final long CONNECT_TIMEOUT_MILLIS = 400;
-  private static final long ROUND_TRIP_MILLIS = 3;
   private static final long LATE_MILLIS = 300;
   private static final int MAX_TRIES = 3;
-  private static final int ZONES = 3;
-  private static final int ENGINES = 63;
   private static final double REQUESTS_PER_SECOND = 270;
   private static final long LOST_FROM_MILLIS = 2_000;
   private static final long LOST_UNTIL_MILLIS = 7_000;
@@ -52,46 +42,28 @@
 
   /** A request that is to be placed, after its connection to the last engine has timed out. */
   private record Request(
-      Vm vm, long atMillis, long receivedAtMillis, int tries, OptionalInt silentEngine) {}
+      ReachabilityFleet.Vm vm,
+      long atMillis,
+      long receivedAtMillis,
+      int tries,
+      OptionalInt silentEngine) {}
 
-  private record Answer(Vm vm, ZoneId zone, long atMillis) {}
-
-  private static final class Vm {
-    private final int number;
-    private final ZoneReachability zones = new ZoneReachability();
-    private final OutlierDetector detector = new OutlierDetector();
-
-    private Vm(int number) {
-      this.number = number;
-    }
-  }
-
-  private static final class Fleet {
-    private final SplittableRandom random;
+  private static final class Fleet extends ReachabilityFleet<ReachabilityFleet.Vm> {
     private final Knowledge knowledge;
     private final Trouble trouble;
-    private final double lost;
-    private final List<Vm> vms = new ArrayList<>();
     private final PriorityQueue<Request> requests =
         new PriorityQueue<>(Comparator.comparingLong(Request::atMillis));
-    private final PriorityQueue<Answer> answers =
-        new PriorityQueue<>(Comparator.comparingLong(Answer::atMillis));
-    private long now;
     private int received;
     private int late;
-    private int wronglyLost;
 
     private Fleet(int count, Knowledge knowledge, Trouble trouble, double lost, long seed) {
+      super(count, Vm::new, lost, seed);
       this.knowledge = knowledge;
       this.trouble = trouble;
-      this.lost = lost;
-      random = new SplittableRandom(seed);
-      for (int i = 0; i < count; i++) {
-        vms.add(new Vm(i));
-      }
     }
 
-    private boolean isReachable(Vm vm, int zone) {
+    @Override
+    boolean isReachable(Vm vm, int zone) {
       if (now < LOST_FROM_MILLIS || now >= LOST_UNTIL_MILLIS) {
         return true;
       }
@@ -110,31 +82,29 @@
           || now >= LOST_UNTIL_MILLIS;
     }
 
-    private boolean connects(Vm vm, int zone) {
-      return isReachable(vm, zone) && random.nextDouble() >= lost;
+    private Fleet play() {
+      play(REQUESTS_PER_SECOND, END_MILLIS);
+      return this;
+    }
+
+    @Override
+    void receive(Vm vm) {
+      if (isAlive(vm)) {
+        requests.add(new Request(vm, now, now, 0, OptionalInt.empty()));
+      }
     }
 
-    private Fleet play() {
-      for (now = 0; now < END_MILLIS; now += TICK_MILLIS) {
-        double due = REQUESTS_PER_SECOND * TICK_MILLIS / 1_000 + random.nextDouble();
-        for (; due >= 1; due--) {
-          Vm vm = vms.get(random.nextInt(vms.size()));
-          if (isAlive(vm)) {
-            requests.add(new Request(vm, now, now, 0, OptionalInt.empty()));
-          }
-        }
-        while (!answers.isEmpty() && answers.peek().atMillis() <= now) {
-          Answer answer = answers.poll();
-          answer.vm().zones.recordContact(answer.zone(), now);
-        }
-        while (!requests.isEmpty() && requests.peek().atMillis() <= now) {
-          place(requests.poll());
-        }
-        if (knowledge == Knowledge.ZONES) {
-          vms.forEach(this::check);
+    @Override
+    void step() {
+      while (!requests.isEmpty() && requests.peek().atMillis() <= now) {
+        place(requests.poll());
+      }
+      if (knowledge == Knowledge.ZONES) {
+        for (ReachabilityFleet.Vm vm : vms) {
+          check(vm);
+          state(vm);
         }
       }
-      return this;
     }
 
     private void place(Request request) {
@@ -177,7 +147,7 @@
       Set<ZoneId> unreachable = vm.zones.unreachable();
       int[] candidates =
           random
-              .ints(200, 0, ENGINES)
+              .ints(200, 0, UPSTREAMS)
               .filter(it -> !vm.detector.isEjected(id(it), now))
               .filter(it -> knowledge != Knowledge.PERFECT || isReachable(vm, it % ZONES))
               .toArray();
@@ -186,48 +156,12 @@
           return engine;
         }
       }
-      return candidates.length > 0 ? candidates[0] : random.nextInt(ENGINES);
-    }
-
-    private void check(Vm vm) {
-      for (ZoneReachability.Check check : vm.zones.startChecks(now)) {
-        int zone = Integer.parseInt(check.zone().value());
-        for (int i = 0; i < check.upstreams(); i++) {
-          if (connects(vm, zone)) {
-            answers.add(new Answer(vm, check.zone(), now + ROUND_TRIP_MILLIS));
-          }
-        }
-      }
-      for (ZoneId zone : vm.zones.endChecks(now)) {
-        wronglyLost += isReachable(vm, Integer.parseInt(zone.value())) ? 1 : 0;
-      }
-      if ((now + vm.number * TICK_MILLIS) % STATEMENT_MILLIS == 0) {
-        state(vm);
-      }
-    }
-
-    private void state(Vm from) {
-      for (ZoneId zone : from.zones.unreachable()) {
-        for (int i = 0; i < (vms.size() <= SMALL_FLEET_VMS ? vms.size() : 2); i++) {
-          Vm to = vms.get(vms.size() <= SMALL_FLEET_VMS ? i : random.nextInt(vms.size()));
-          if (to.number % ZONES == from.number % ZONES && to != from) {
-            to.zones.recordPeerVerdict(zone, now);
-          }
-        }
-      }
+      return candidates.length > 0 ? candidates[0] : random.nextInt(UPSTREAMS);
     }
 
     private double lateShare() {
       return (double) late / received;
     }
-
-    private static ZoneId zone(int number) {
-      return new ZoneId(Integer.toString(number));
-    }
-
-    private static UpstreamId id(int engine) {
-      return new UpstreamId("engine-" + engine);
-    }
   }
 
   /** Numbers of VMs, troubles and seeds. */
@@ -258,7 +192,7 @@
   @Test(dataProvider = "losses")
   public void zoneIsUsedAgainSoonAfterItsReturn(int count, Trouble trouble, long seed) {
     Fleet fleet = new Fleet(count, Knowledge.ZONES, trouble, 0.01, seed).play();
-    for (Vm vm : fleet.vms) {
+    for (ReachabilityFleet.Vm vm : fleet.vms) {
       assertEquals(vm.zones.unreachable(), Set.of());
     }
   }
