--- a/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/ragworttide/daemon/log/LogEvent.java
@@ -125,6 +125,9 @@
   TUNNEL_SERVED(7119, Level.INFO, "request %s of VM at %s connected to upstream %s"),
   /** A request of another VM is not connected to an upstream. */
   TUNNEL_REFUSED(7120, Level.INFO, "request %s of VM at %s not connected: %s"),
+  /** The upstreams of a service are brittle, tolerate another number of rejections, or any. */
+  REJECTIONS_TOLERATED(
+      7121, Level.INFO, "upstreams of service %s tolerate %s rejections per second"),
   /** The first message of another VM has arrived. */
   PEER_HEARD(7201, Level.INFO, "first message of VM %s received from %s"),
   /** No message of another VM has arrived for 30 s. */
--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.ragworttide.gateway.caller.CallerServer;
 import org.ragworttide.gateway.feed.ChangeFeed;
 import org.ragworttide.gateway.feed.FeedAddress;
+import org.ragworttide.gateway.peer.BrittleUpstreams;
 import org.ragworttide.gateway.peer.ColdStarts;
 import org.ragworttide.gateway.peer.PeerExchange;
 import org.ragworttide.gateway.peer.StreamDirectory;
@@ -143,6 +144,7 @@
             new StreamDirectory(settings.peers(), settings.seeds(), time),
             new SoleVersionLookup(view.versions(), feed, time),
             new ColdStarts(settings.peers(), view, time),
+            new BrittleUpstreams(settings.peers(), view, time),
             new RetryBudgets(settings.retryRatio(), settings.retrySlack()),
             telemetry,
             new SplittableRandom(),
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -108,6 +108,7 @@
   private final ChangeFeed feed;
   private final StreamDirectory streams;
   private final ColdStarts coldStarts;
+  private final BrittleUpstreams brittle;
   private final ZoneWatch zones;
   private final TunnelPeers tunnelPeers;
   private final ZoneTraffic traffic;
@@ -158,6 +159,7 @@
     this.feed = feed;
     this.streams = context.streams();
     this.coldStarts = context.coldStarts();
+    this.brittle = context.brittle();
     this.zones = context.zones();
     this.tunnelPeers = context.paths().peers();
     this.traffic = context.traffic();
@@ -192,6 +194,7 @@
             .channel();
     streams.start(this::sendOnce, peers::keySet);
     coldStarts.start(this::sendOnce);
+    brittle.start(this::sendOnce);
     time.every(PERIOD_MILLIS, this::broadcast);
   }
 
@@ -218,6 +221,11 @@
       coldStarts.receive(permit.get(), sender);
       return;
     }
+    Optional<BrittleMessage> request = BrittleMessage.decode(bytes);
+    if (request.isPresent()) {
+      brittle.receive(request.get(), sender);
+      return;
+    }
     PeerStatement.decode(bytes)
         .ifPresentOrElse(
             statement -> receive(statement, sender),
@@ -245,6 +253,7 @@
             now);
     statement.holdings().forEach(holding -> view.prompts().recordPeerHolding(holding, now));
     statement.limits().forEach(limit -> view.recordPeerLimit(limit.moveTime(now), now));
+    statement.tolerances().forEach(it -> view.brittle().recordPeerTolerance(it.moveTime(now), now));
     statement.leaving().forEach(upstream -> view.recordPeerLeaving(upstream, now));
     if (statement.zoneKey() == FeedMember.zoneKey(zone.value())) {
       statement.unreachableZones().forEach(zones::recordPeerVerdict);
@@ -300,6 +309,7 @@
       feed.setMembers(peers.values().stream().map(KnownPeer::member).toList());
       view.peers().members().set(FeedAddress.number(address), peers.keySet(), now);
     }
+    brittle.tellOwners();
     byte[] statement = nextStatement().encode();
     long budgetBytes = BYTES_PER_SECOND * PERIOD_MILLIS / MILLIS_PER_SECOND - bytesSinceBroadcast;
     bytesSinceBroadcast = 0;
@@ -348,7 +358,8 @@
         leaving.next(newLeaving()),
         loadReports(now),
         zones.unreachableKeys(),
-        traffic.nextStatement(now));
+        traffic.nextStatement(now),
+        view.brittle().news(now).stream().map(it -> it.moveTime(-now)).toList());
   }
 
   /**
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerStatement.java
@@ -17,6 +17,7 @@
 import org.ragworttide.coordination.placement.LoadReport;
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.placement.StatedLimit;
+import org.ragworttide.coordination.placement.StatedTolerance;
 import org.ragworttide.coordination.quarantine.Clearance;
 import org.ragworttide.coordination.quarantine.CrashReport;
 import org.ragworttide.coordination.quarantine.SuspicionStatement;
@@ -37,9 +38,10 @@
  * per second, negative for none), 17 upstreams that are leaving (4 bytes), 18 era of the revision,
  * 19 reports of upstreams (each 4 bytes upstream, 1 byte requests, 2 bytes age in units of 10 ms),
  * 20 keys of zones that the VM cannot reach, 21 losses of callers (each 4 bytes service, 2 bytes
- * requests and 4 bytes milliseconds in the zone, and the same in others). Fields 9 and 10 are those
- * of earlier builds; unknown fields, and bytes that follow those of a limit, are ignored.
- * Immutable, safe for use by any thread.
+ * requests and 4 bytes milliseconds in the zone, and the same in others), 22 tolerances of
+ * rejections (4 bytes service, 2 bytes age in units of 10 ms, 2 bytes rejections per second,
+ * negative for none). Fields 9 and 10 are those of earlier builds; unknown fields, and bytes that
+ * follow those of a limit, are ignored. Immutable, safe for use by any thread.
  *
  * @param vm the VM that sends the statement
  * @param incarnation distinguishes the VM's process runs
@@ -56,6 +58,8 @@
  * @param reports reports of upstreams on their requests; the times are relative as well
  * @param unreachableZones keys of the availability zones that the VM cannot reach
  * @param losses what its callers have lost by waiting, by key of the service
+ * @param tolerances rejections that the upstreams of services tolerate; the times are relative as
+ *     well
  */
 record PeerStatement(
     VmId vm,
@@ -71,7 +75,8 @@
     List<Integer> leaving,
     List<LoadReport> reports,
     List<Integer> unreachableZones,
-    Map<Integer, ZoneLosses> losses) {
+    Map<Integer, ZoneLosses> losses,
+    List<StatedTolerance> tolerances) {
   private static final int VM = 1;
   private static final int INCARNATION = 2;
   private static final int SEQUENCE = 3;
@@ -90,6 +95,7 @@
   private static final int REPORTS = 19;
   private static final int UNREACHABLE = 20;
   private static final int LOSSES = 21;
+  private static final int TOLERANCE = 22;
   private static final int KNOWN_BYTES = Long.BYTES + Integer.BYTES + 1;
   private static final int MAX_SILENT_SECONDS = 255;
 
@@ -113,6 +119,7 @@
     reports = List.copyOf(reports);
     unreachableZones = List.copyOf(unreachableZones);
     losses = Map.copyOf(losses);
+    tolerances = List.copyOf(tolerances);
   }
 
   byte[] encode() {
@@ -157,6 +164,9 @@
       if (!losses.isEmpty()) {
         out.writeByteArray(LOSSES, ZoneLossCodec.bytes(losses));
       }
+      for (StatedTolerance tolerance : tolerances) {
+        out.writeByteArray(TOLERANCE, ToleranceCodec.bytes(tolerance));
+      }
       out.flush();
     } catch (IOException e) {
       throw new IllegalStateException("writing to a byte array failed", e);
@@ -184,6 +194,7 @@
     List<LoadReport> reports = new ArrayList<>();
     List<Integer> unreachableZones = new ArrayList<>();
     Map<Integer, ZoneLosses> losses = new HashMap<>();
+    List<StatedTolerance> tolerances = new ArrayList<>();
     int part = 0;
     try {
       for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
@@ -206,6 +217,7 @@
           case REPORTS -> reports.addAll(LoadReportCodec.reports(in.readByteArray()));
           case UNREACHABLE -> unreachableZones.add(in.readFixed32());
           case LOSSES -> losses.putAll(ZoneLossCodec.losses(in.readByteArray()));
+          case TOLERANCE -> tolerances.add(ToleranceCodec.tolerance(in.readByteArray()));
           default -> in.skipField(tag);
         }
       }
@@ -224,7 +236,8 @@
               leaving,
               reports,
               unreachableZones,
-              losses));
+              losses,
+              tolerances));
     } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Exchange.java
@@ -30,6 +30,7 @@
 import org.ragworttide.gateway.model.Route;
 import org.ragworttide.gateway.model.RouteKind;
 import org.ragworttide.gateway.model.ServiceName;
+import org.ragworttide.gateway.peer.BrittleUpstreams;
 import org.ragworttide.gateway.upstream.AttemptListener;
 import org.ragworttide.gateway.upstream.ConnectFailure;
 import org.ragworttide.gateway.upstream.Upstream;
@@ -77,6 +78,9 @@
   private final CallerResponse response;
   private final Set<UpstreamId> tried = new HashSet<>();
 
+  /** Brittle upstreams that may have no room for the request. */
+  private final Set<UpstreamId> withoutRoom = new HashSet<>();
+
   /** Upstreams to which this VM could not open a connection and no other has been asked to. */
   private final Deque<Upstream> unreached = new ArrayDeque<>();
 
@@ -267,7 +271,7 @@
       return;
     }
     Optional<Upstream> chosen =
-        context.placement().choose(service, version, request.metadata().prompt(), tried, now);
+        context.placement().choose(service, version, request.metadata().prompt(), excluded(), now);
     if (chosen.isEmpty()) {
       if (reachThroughPeer()) {
         return;
@@ -278,7 +282,8 @@
             "no upstream of service " + service + " has the stream's version " + version.get());
         return;
       }
-      if (tried.isEmpty() && context.placement().isLimited(service, now)) {
+      if (tried.isEmpty()
+          && (!withoutRoom.isEmpty() || context.placement().isLimited(service, now))) {
         refuse(
             Refusal.UPSTREAMS_LIMITED,
             "no upstream of service " + service + " accepts more requests now");
@@ -290,8 +295,17 @@
     if (chosen.get().load().coldAllowance().isCold(now)) {
       askForPermit(chosen.get());
     } else {
-      attempt(chosen.get(), false);
+      attemptWithRoom(chosen.get(), false);
+    }
+  }
+
+  private Set<UpstreamId> excluded() {
+    if (withoutRoom.isEmpty()) {
+      return tried;
     }
+    Set<UpstreamId> excluded = new HashSet<>(tried);
+    excluded.addAll(withoutRoom);
+    return excluded;
   }
 
   /**
@@ -302,7 +316,7 @@
     while (!unreached.isEmpty()) {
       Upstream upstream = unreached.poll();
       if (context.paths().mayReachThroughPeer(upstream)) {
-        attempt(upstream, true);
+        attemptWithRoom(upstream, true);
         return true;
       }
     }
@@ -320,7 +334,7 @@
                 return;
               }
               if (isPermitted && !cold.isRemoved()) {
-                attempt(cold, false);
+                attemptWithRoom(cold, false);
               } else {
                 context.telemetry().recordColdRefusal();
                 cold.load().coldAllowance().recordRefusal(context.time().nowMillis());
@@ -329,7 +343,34 @@
             });
   }
 
-  private void attempt(Upstream chosen, boolean throughPeer) {
+  /** Sends the request to an upstream that is not brittle or has room, or else places it again. */
+  private void attemptWithRoom(Upstream chosen, boolean throughPeer) {
+    if (!context.brittle().isBrittle(chosen)) {
+      attempt(chosen, throughPeer, context.brittle().begin(chosen));
+      return;
+    }
+    context
+        .brittle()
+        .ask(
+            chosen,
+            permitted -> {
+              if (done || chosen.isRemoved()) {
+                permitted.ifPresent(it -> it.end(false));
+              }
+              if (done) {
+                return;
+              }
+              if (permitted.isPresent() && !chosen.isRemoved()) {
+                attempt(chosen, throughPeer, permitted.get());
+              } else {
+                context.telemetry().recordBrittleRefusal();
+                withoutRoom.add(chosen.entry().id());
+                place();
+              }
+            });
+  }
+
+  private void attempt(Upstream chosen, boolean throughPeer, BrittleUpstreams.InFlight inFlight) {
     long now = context.time().nowMillis();
     Optional<Prompt> prompt = request.metadata().prompt();
     Optional<Upstream> fetchSource = context.placement().fetchSource(service, prompt, chosen, now);
@@ -345,7 +386,8 @@
             prompt,
             fetchSource,
             suspects.parts());
-    attempt = new Attempt(chosen, fetchSource.map(it -> it.entry().address()), throughPeer);
+    attempt =
+        new Attempt(chosen, fetchSource.map(it -> it.entry().address()), throughPeer, inFlight);
     attempt.begin();
   }
 
@@ -423,6 +465,7 @@
     private final UpstreamId upstreamId;
     private final Optional<InetSocketAddress> fetchSource;
     private final boolean throughPeer;
+    private final BrittleUpstreams.InFlight inFlight;
     private UpstreamConnection connection;
     private TimerService.Subscription responseTimer = () -> {};
     private TimerService.Subscription silence = () -> {};
@@ -434,10 +477,14 @@
     private boolean ended;
 
     private Attempt(
-        Upstream upstream, Optional<InetSocketAddress> fetchSource, boolean throughPeer) {
+        Upstream upstream,
+        Optional<InetSocketAddress> fetchSource,
+        boolean throughPeer,
+        BrittleUpstreams.InFlight inFlight) {
       this.upstream = upstream;
       this.fetchSource = fetchSource;
       this.throughPeer = throughPeer;
+      this.inFlight = inFlight;
       this.upstreamId = upstream.entry().id();
     }
 
@@ -567,6 +614,10 @@
       responseTimer.cancel();
       silence.cancel();
       upstream.load().recordEnd();
+      inFlight.end(
+          metadata != null
+              && metadata.notRun()
+              && status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE));
     }
 
     private void recordOutcome(boolean succeeded, String reason) {
@@ -616,6 +667,13 @@
                   upstream
                       .load()
                       .recordReport(it.running() + it.waiting(), context.time().nowMillis()));
+      if (!status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+        context
+            .view()
+            .brittle()
+            .recordAnswer(
+                service, upstream.incarnationKey(), received.statement(), receivedAtMillis);
+      }
       response.setHead(head, route.kind().isStream());
     }
 
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/RelayContext.java
@@ -5,6 +5,7 @@
 import org.ragworttide.coordination.admission.StopAdmission;
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.gateway.HeaderCodec;
+import org.ragworttide.gateway.peer.BrittleUpstreams;
 import org.ragworttide.gateway.peer.ColdStarts;
 import org.ragworttide.gateway.peer.StreamDirectory;
 import org.ragworttide.gateway.view.FleetView;
@@ -27,6 +28,7 @@
  * @param streams the versions that began streams
  * @param soleVersions finds the versions of streams that no VM remembers
  * @param coldStarts permits requests to cold upstreams
+ * @param brittle permits requests to brittle upstreams
  * @param retries limits retries
  * @param telemetry updates metrics and logs events
  * @param random randomizes the delays after which refused callers may retry
@@ -46,6 +48,7 @@
     StreamDirectory streams,
     SoleVersionLookup soleVersions,
     ColdStarts coldStarts,
+    BrittleUpstreams brittle,
     RetryBudgets retries,
     Telemetry telemetry,
     SplittableRandom random,
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/Telemetry.java
@@ -113,6 +113,11 @@
     metrics.counter("gateway_cold_refusals").inc();
   }
 
+  /** Records that a request may not be sent to the brittle upstream that was chosen for it. */
+  void recordBrittleRefusal() {
+    metrics.counter("gateway_brittle_refusals").inc();
+  }
+
   /** Records that a request is sent to an upstream through another VM. */
   void recordTunnelOpened(String requestId, UpstreamId upstream, InetSocketAddress vm) {
     metrics.counter("gateway_tunnels_opened").inc();
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -73,6 +73,7 @@
   private RouteTable routes = new RouteTable(List.of());
   private KeyTable keys = new KeyTable(List.of());
   private Map<ServiceName, ServicePolicy> policies = Map.of();
+  private final BrittleServices brittle = new BrittleServices(() -> policies.keySet());
 
   /**
    * Applies a configuration unless its version is lower than that of the current one. The store's
@@ -185,6 +186,11 @@
     return peers;
   }
 
+  /** Returns the services whose upstreams are brittle. */
+  public BrittleServices brittle() {
+    return brittle;
+  }
+
   /** Returns the index of the prompts that engines have cached. */
   public PromptIndex prompts() {
     return prompts;
--- a/gateway/src/test/java/org/ragworttide/gateway/peer/PeerStatementTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/peer/PeerStatementTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.ragworttide.coordination.feed.FeedMember;
 import org.ragworttide.coordination.feed.StorePosition;
@@ -15,6 +16,7 @@
 import org.ragworttide.coordination.placement.PromptIndex;
 import org.ragworttide.coordination.placement.RequestLimit;
 import org.ragworttide.coordination.placement.StatedLimit;
+import org.ragworttide.coordination.placement.StatedTolerance;
 import org.ragworttide.coordination.quarantine.Clearance;
 import org.ragworttide.coordination.quarantine.CrashReport;
 import org.ragworttide.coordination.quarantine.Suspect;
@@ -47,7 +49,11 @@
           List.of(9, -10),
           List.of(new LoadReport(-11, 255, 0), new LoadReport(12, 0, -2_000)),
           List.of(-13, 14),
-          Map.of(-15, new ZoneLosses(1, 250, 40_000, 0)));
+          Map.of(-15, new ZoneLosses(1, 250, 40_000, 0)),
+          List.of(
+              new StatedTolerance(-16, OptionalInt.of(0), -1_230),
+              new StatedTolerance(17, OptionalInt.of(StatedTolerance.MAX_REJECTIONS), 0),
+              new StatedTolerance(18, OptionalInt.empty(), -10)));
 
   @Test
   public void decodedStatementEqualsTheEncodedOne() {
