--- a/gateway/src/main/java/org/ragworttide/gateway/feed/FeedClient.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/feed/FeedClient.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.net.InetAddress;
@@ -70,6 +71,7 @@
             .channel(type)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(EpollChannelOption.IP_BIND_ADDRESS_NO_PORT, true)
             .handler(
                 new ChannelInitializer<>() {
                   @Override
--- a/gateway/src/main/java/org/ragworttide/gateway/tunnel/TunnelConnector.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/tunnel/TunnelConnector.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.util.ReferenceCountUtil;
@@ -74,6 +75,7 @@
         bootstrap
             .clone()
             .option(ChannelOption.ALLOW_HALF_CLOSURE, false)
+            .option(EpollChannelOption.IP_BIND_ADDRESS_NO_PORT, true)
             .handler(
                 new ChannelInitializer<>() {
                   @Override
