--- a/gateway/src/main/java/org/ragworttide/gateway/peer/BrittleUpstreams.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/BrittleUpstreams.java
@@ -61,6 +61,12 @@
       inFlight.put(number, this);
     }
 
+    /** Tells the former owner to count the request no more, should it be the owner again. */
+    private void leaveOwner() {
+      owner.ifPresent(
+          it -> tell(it, new BrittleMessage.Ended(number, upstream.incarnationKey(), false)));
+    }
+
     /**
      * Records that the request has ended or is not sent.
      *
@@ -152,6 +158,7 @@
         OptionalLong owner =
             owners.computeIfAbsent(key, it -> view.peers().members().owner(it, now));
         if (owner.isPresent() && !owner.equals(request.owner)) {
+          request.leaveOwner();
           request.owner = owner;
           tell(
               owner.getAsLong(),
