--- a/gateway/src/main/java/org/ragworttide/gateway/relay/EventSplitter.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/EventSplitter.java
@@ -124,12 +124,16 @@
 
   private void recordIds(ByteBuf events) {
     Optional<EventId> last = lastId;
+    Optional<EventId> precedes = continuedAfter;
     Optional<EventId> id = Optional.empty();
     boolean hasData = false;
     for (String line : events.toString(StandardCharsets.UTF_8).split("\r?\n", -1)) {
       if (line.startsWith(ID_FIELD)) {
         id = Optional.of(new EventId(line.substring(ID_FIELD.length()).strip()));
-        checkOrder(id.get());
+        if (id.isPresent() && precedes.isPresent()) {
+          outOfOrder |= !id.get().mayFollow(precedes.get());
+          precedes = id;
+        }
       } else if (line.startsWith(DATA_FIELD)) {
         hasData = true;
       } else if (line.isEmpty()) {
@@ -138,13 +142,9 @@
         hasData = false;
       }
     }
-    lastId = outOfOrder ? lastId : last;
-  }
-
-  private void checkOrder(EventId id) {
-    if (continuedAfter.isPresent()) {
-      outOfOrder |= !id.mayFollow(continuedAfter.get());
-      continuedAfter = Optional.of(id);
+    if (!outOfOrder) {
+      lastId = last;
+      continuedAfter = precedes;
     }
   }
 }
--- a/gateway/src/test/java/org/ragworttide/gateway/relay/EventSplitterTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/relay/EventSplitterTest.java
@@ -139,4 +139,23 @@
     }
     waiting.forEach(ByteBuf::release);
   }
+
+  /** Guards against a repeated event that is passed on because an earlier attempt repeated more. */
+  @Test
+  public void failedContinuationDoesNotChangeWhatTheNextOneMustFollow() {
+    splitter.continueAfter(new EventId("5"));
+    assertEquals(add("id: 3\ndata: c\n\n"), "");
+    splitter.discardPartialEvent();
+    assertEquals(add("id: 4\ndata: d\n\n"), "");
+    assertTrue(splitter.isOutOfOrder());
+  }
+
+  /** Guards against an event that is missing because a failed attempt had sent it. */
+  @Test
+  public void eventHeldBackWithLaterOneMayComeAgain() {
+    splitter.continueAfter(new EventId("5"));
+    assertEquals(add("id: 6\ndata: f\n\nid: 6\ndata: f\n\n"), "");
+    splitter.discardPartialEvent();
+    assertEquals(add("id: 6\ndata: f\n\n"), "id: 6\ndata: f\n\n");
+  }
 }
