--- a/gateway/src/main/java/org/ragworttide/gateway/relay/EventSplitter.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/EventSplitter.java
@@ -130,13 +130,13 @@
     for (String line : events.toString(StandardCharsets.UTF_8).split("\r?\n", -1)) {
       if (line.startsWith(ID_FIELD)) {
         id = Optional.of(new EventId(line.substring(ID_FIELD.length()).strip()));
+      } else if (line.startsWith(DATA_FIELD)) {
+        hasData = true;
+      } else if (line.isEmpty()) {
         if (id.isPresent() && precedes.isPresent()) {
           outOfOrder |= !id.get().mayFollow(precedes.get());
           precedes = id;
         }
-      } else if (line.startsWith(DATA_FIELD)) {
-        hasData = true;
-      } else if (line.isEmpty()) {
         last = id.isPresent() || hasData ? id.filter(EventId::isNameable) : last;
         id = Optional.empty();
         hasData = false;
--- a/gateway/src/test/java/org/ragworttide/gateway/relay/EventSplitterTest.java
+++ b/gateway/src/test/java/org/ragworttide/gateway/relay/EventSplitterTest.java
@@ -158,4 +158,12 @@
     splitter.discardPartialEvent();
     assertEquals(add("id: 6\ndata: f\n\n"), "id: 6\ndata: f\n\n");
   }
+
+  /** Guards against continuations that are aborted because an event states its id twice. */
+  @Test
+  public void lastIdOfAnEventIsTheOneThatMustFollow() {
+    splitter.continueAfter(new EventId("5"));
+    assertEquals(add("id: 6\nid: 6\ndata: f\n\n"), "id: 6\nid: 6\ndata: f\n\n");
+    assertEquals(splitter.lastId(), Optional.of(new EventId("6")));
+  }
 }
