--- a/gateway/src/main/java/org/ragworttide/gateway/tunnel/TunnelConnector.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/tunnel/TunnelConnector.java
@@ -3,12 +3,13 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
@@ -24,8 +25,9 @@
  * Opens tunnels through other VMs.
  *
  * <p>Invariants: nothing but the request for the tunnel is sent before the asked VM has connected
- * to the upstream. The upstream's end of its side of the connection is a message of its own, so
- * that a tunnel that breaks is never taken for a complete response. Confined to the event loop.
+ * to the upstream. The upstream's end of its side of the connection is a message of its own, which
+ * counts only if the upstream has received all that was sent, so that a tunnel that breaks is never
+ * taken for a complete response. Confined to the event loop.
  */
 public final class TunnelConnector {
   /** Bytes of the length that precedes each message of the asked VM. */
@@ -107,13 +109,15 @@
   }
 
   /** The VM's own end of a tunnel. Confined to the event loop. */
-  private static final class TunnelEnd extends ChannelInboundHandlerAdapter {
+  private static final class TunnelEnd extends ChannelDuplexHandler {
     private final Consumer<ChannelPipeline> addHandlers;
     private final Runnable opened;
     private final Consumer<Optional<TunnelReply>> failed;
     private boolean replied;
     private boolean open;
+    private boolean endAnnounced;
     private boolean inputEnded;
+    private long sentBytes;
 
     private TunnelEnd(
         Consumer<ChannelPipeline> addHandlers,
@@ -141,14 +145,32 @@
       ByteBuf bytes = (ByteBuf) message;
       if (!replied) {
         handleReply(ctx, bytes);
-      } else if (bytes.isReadable() && !inputEnded) {
+      } else if (endAnnounced) {
+        handleEnd(ctx, bytes);
+      } else if (bytes.isReadable()) {
         ctx.fireChannelRead(bytes);
         return;
       } else {
+        endAnnounced = true;
+      }
+      ReferenceCountUtil.release(message);
+    }
+
+    private void handleEnd(ChannelHandlerContext ctx, ByteBuf receivedBytes) {
+      if (!inputEnded
+          && receivedBytes.readableBytes() == Long.BYTES
+          && receivedBytes.readLong() == sentBytes) {
         inputEnded = true;
         ctx.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
       }
-      ReferenceCountUtil.release(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+      if (open) {
+        sentBytes += ((ByteBuf) message).readableBytes();
+      }
+      ctx.write(message, promise);
     }
 
     private void handleReply(ChannelHandlerContext ctx, ByteBuf bytes) {
--- a/gateway/src/main/java/org/ragworttide/gateway/tunnel/TunnelServer.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/tunnel/TunnelServer.java
@@ -34,9 +34,9 @@
  *
  * <p>Invariants: tunnels lead only to upstreams that this VM knows from the store, and never
  * through a further VM. Either end that closes ends the other. The asking VM is told that the
- * upstream has ended its side only if the upstream has received all that was sent to it. The bytes
- * that wait for a slow end are bounded, since the other one is not read meanwhile. Confined to the
- * event loop.
+ * upstream has ended its side only if the upstream has received all that was passed on to it, and
+ * how many bytes these are. The bytes that wait for a slow end are bounded, since the other one is
+ * not read meanwhile. Confined to the event loop.
  */
 public final class TunnelServer implements PeerConnectionHandler {
   /** Tunnels that a VM carries, which take two connections each. */
@@ -166,12 +166,13 @@
   /**
    * The two connections of a tunnel. Messages to the requester are preceded by their length, which
    * {@link LengthFieldPrepender} in its pipeline adds; an empty one says that the upstream has
-   * ended its side. Confined to the event loop.
+   * ended its side, and the next one how many bytes it has received. Confined to the event loop.
    */
   private static final class Tunnel {
     private final Channel requester;
     private Optional<Channel> upstream = Optional.empty();
     private boolean upstreamEnded;
+    private long passedOnBytes;
 
     private Tunnel(Channel requester) {
       this.requester = requester;
@@ -189,6 +190,12 @@
 
     private ChannelHandler requesterHandler() {
       return new TunnelSide(() -> upstream) {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+          passedOnBytes += ((ByteBuf) message).readableBytes();
+          super.channelRead(ctx, message);
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
           upstream.ifPresent(Channel::close);
@@ -203,8 +210,9 @@
           if (event instanceof ChannelInputShutdownEvent) {
             if (hasReceivedAll(ctx.channel())) {
               upstreamEnded = true;
+              requester.write(Unpooled.EMPTY_BUFFER);
               requester
-                  .writeAndFlush(Unpooled.EMPTY_BUFFER)
+                  .writeAndFlush(Unpooled.copyLong(passedOnBytes))
                   .addListener(ChannelFutureListener.CLOSE);
             }
             ctx.close();
