--- a/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import org.ragworttide.gateway.feed.ChangeFeed;
 import org.ragworttide.gateway.feed.FeedAddress;
 import org.ragworttide.gateway.peer.BrittleUpstreams;
+import org.ragworttide.gateway.peer.CarriedPauses;
 import org.ragworttide.gateway.peer.ColdStarts;
 import org.ragworttide.gateway.peer.PeerExchange;
 import org.ragworttide.gateway.peer.StreamDirectory;
@@ -123,7 +124,9 @@
         new ZoneWatch(view, connector, telemetry.metrics(), settings.zones().mayBeLost() > 0);
     ZoneTraffic traffic = new ZoneTraffic(settings.zone(), settings.zones(), telemetry.metrics());
     TunnelPeers tunnelPeers = new TunnelPeers(FeedMember.zoneKey(settings.zone().value()));
-    UpstreamPaths paths = new UpstreamPaths(view, connector, zones, tunnelPeers, telemetry, time);
+    CarriedPauses pauses = new CarriedPauses(view, time);
+    UpstreamPaths paths =
+        new UpstreamPaths(view, connector, zones, tunnelPeers, pauses, telemetry, time);
     this.tunnels =
         new TunnelServer(
             connector.bootstrap(), paths, this::tunnelTarget, stopAdmission::isStopping, telemetry);
--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PeerExchange.java
@@ -109,6 +109,7 @@
   private final StreamDirectory streams;
   private final ColdStarts coldStarts;
   private final BrittleUpstreams brittle;
+  private final CarriedPauses pauses;
   private final ZoneWatch zones;
   private final TunnelPeers tunnelPeers;
   private final ZoneTraffic traffic;
@@ -160,6 +161,7 @@
     this.streams = context.streams();
     this.coldStarts = context.coldStarts();
     this.brittle = context.brittle();
+    this.pauses = context.paths().pauses();
     this.zones = context.zones();
     this.tunnelPeers = context.paths().peers();
     this.traffic = context.traffic();
@@ -195,6 +197,7 @@
     streams.start(this::sendOnce, peers::keySet);
     coldStarts.start(this::sendOnce);
     brittle.start(this::sendOnce);
+    pauses.start(this::sendOnce);
     time.every(PERIOD_MILLIS, this::broadcast);
   }
 
@@ -226,12 +229,25 @@
       brittle.receive(request.get(), sender);
       return;
     }
+    Optional<PauseMessage> pause = PauseMessage.decode(bytes);
+    if (pause.isPresent()) {
+      receive(pause.get(), sender);
+      return;
+    }
     PeerStatement.decode(bytes)
         .ifPresentOrElse(
             statement -> receive(statement, sender),
             () -> EventLog.log(LogEvent.PEER_FRAME_REFUSED, sender, "not a statement"));
   }
 
+  private void receive(PauseMessage pause, InetSocketAddress sender) {
+    if (peers.containsKey(FeedAddress.number(sender))) {
+      pauses.receive(pause);
+    } else {
+      EventLog.log(LogEvent.PEER_FRAME_REFUSED, sender, "pause from a VM that is not known");
+    }
+  }
+
   private void receive(PeerStatement statement, InetSocketAddress sender) {
     if (statement.vm().equals(vm)) {
       return;
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/UpstreamPaths.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/UpstreamPaths.java
@@ -17,6 +17,7 @@
 import org.ragworttide.coordination.time.TimerService;
 import org.ragworttide.coordination.zones.TunnelPeers;
 import org.ragworttide.gateway.feed.FeedAddress;
+import org.ragworttide.gateway.peer.CarriedPauses;
 import org.ragworttide.gateway.upstream.ConnectFailure;
 import org.ragworttide.gateway.upstream.Upstream;
 import org.ragworttide.gateway.upstream.UpstreamConnection;
@@ -43,6 +44,7 @@
   private final UpstreamConnector connector;
   private final ZoneWatch zones;
   private final TunnelPeers peers;
+  private final CarriedPauses pauses;
   private final Telemetry telemetry;
   private final TimerService time;
   private final Set<Connecting> connecting = new LinkedHashSet<>();
@@ -95,6 +97,7 @@
    * @param connector opens connections
    * @param zones the zones that the VM cannot reach
    * @param peers the VMs that may reach them
+   * @param pauses tells VMs the pauses that they have carried
    * @param telemetry logs tunnels and counts them
    * @param time the clock and timers of the event loop
    */
@@ -103,12 +106,14 @@
       UpstreamConnector connector,
       ZoneWatch zones,
       TunnelPeers peers,
+      CarriedPauses pauses,
       Telemetry telemetry,
       TimerService time) {
     this.view = view;
     this.connector = connector;
     this.zones = zones;
     this.peers = peers;
+    this.pauses = pauses;
     this.telemetry = telemetry;
     this.time = time;
     zones.onLoss(this::handleLoss);
@@ -119,6 +124,11 @@
     return peers;
   }
 
+  /** Returns the exchange of the pauses that VMs have carried. */
+  public CarriedPauses pauses() {
+    return pauses;
+  }
+
   /**
    * Returns the upstreams in zones that the VM reaches; if there is none, those in zones that
    * another VM reaches.
@@ -232,6 +242,7 @@
             FeedAddress.address(vm),
             upstream,
             requestId,
+            millis -> pauses.tell(FeedAddress.address(vm), upstream.incarnationKey(), millis),
             connection -> {
               telemetry.recordTunnelOpened(
                   requestId, upstream.entry().id(), FeedAddress.address(vm));
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/Upstream.java
@@ -107,9 +107,23 @@
     }
   }
 
+  /**
+   * Records that the upstream wants no requests of this VM for some time, as it has stated in a
+   * response to this VM or in one that this VM has carried.
+   */
+  public void recordPause(long millis, long nowMillis) {
+    StatedAvailability availability = load.availability();
+    if (availability.recordPause(millis, nowMillis)) {
+      EventLog.log(
+          LogEvent.UPSTREAM_PAUSED,
+          entry.id(),
+          millis,
+          availability.remainingPauseMillis(nowMillis).getAsLong());
+    }
+  }
+
   /** Records what the upstream has stated in a response to this VM. */
   void recordStatement(UpstreamStatement statement, long nowMillis) {
-    StatedAvailability availability = load.availability();
     if (statement.leaving()) {
       recordLeaving(nowMillis);
     }
@@ -117,14 +131,7 @@
       recordRequestLimit(new RequestLimit(statement.requestLimit(), nowMillis), nowMillis);
     }
     if (statement.pauseMillis().isPresent()) {
-      long millis = statement.pauseMillis().getAsLong();
-      if (availability.recordPause(millis, nowMillis)) {
-        EventLog.log(
-            LogEvent.UPSTREAM_PAUSED,
-            entry.id(),
-            millis,
-            availability.remainingPauseMillis(nowMillis).getAsLong());
-      }
+      recordPause(statement.pauseMillis().getAsLong(), nowMillis);
     }
     if (statement.unreadable().isPresent() && !loggedUnreadable) {
       loggedUnreadable = true;
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnection.java
@@ -19,6 +19,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.ragworttide.daemon.upstream.ResponseDecoder;
 import org.ragworttide.gateway.HeaderCodec;
 import org.ragworttide.gateway.relay.ResponseMetadata;
@@ -80,6 +81,7 @@
   private boolean refusalsHaveIds;
   private boolean detached;
   private boolean tunnelled;
+  private LongConsumer carriedPause = millis -> {};
   private boolean keepAlive;
   private boolean failed;
   private boolean bodySent;
@@ -180,9 +182,15 @@
             TimeUnit.MILLISECONDS);
   }
 
-  /** Records that the connection leads through another VM, which connects it for one request. */
-  void setTunnelled() {
+  /**
+   * Records that the connection leads through another VM, which connects it for one request.
+   *
+   * @param pauseStated receives the milliseconds of a pause for which the upstream asks: it means
+   *     the other VM too
+   */
+  void setTunnelled(LongConsumer pauseStated) {
     tunnelled = true;
+    carriedPause = pauseStated;
   }
 
   /** Returns whether the connection leads through another VM. */
@@ -261,6 +269,7 @@
     // Another instance that has the address answers that the request is misdirected.
     if (!response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
       upstream.recordStatement(metadata.statement(), clock.getAsLong());
+      metadata.statement().pauseMillis().ifPresent(carriedPause);
     }
     // A copy of a response without an id could not be told from the response to the next request.
     attributable &= !metadata.requestId().isEmpty();
--- a/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/upstream/UpstreamConnector.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.ragworttide.gateway.HeaderCodec;
 import org.ragworttide.gateway.tunnel.TunnelConnector;
@@ -136,16 +137,18 @@
    *
    * @param vm the address on which the other VM listens
    * @param requestId the id of the caller's request, for the other VM's logs
+   * @param pauseStated receives the milliseconds of a pause for which the upstream asks
    * @return the future of the connection's end
    */
   public ChannelFuture openThrough(
       InetSocketAddress vm,
       Upstream upstream,
       String requestId,
+      LongConsumer pauseStated,
       Consumer<UpstreamConnection> opened,
       Consumer<ConnectFailure> failed) {
     UpstreamConnection connection = newConnection(upstream);
-    connection.setTunnelled();
+    connection.setTunnelled(pauseStated);
     return tunnels.open(
         vm,
         new TunnelRequest(upstream.incarnationKey(), requestId),
--- a/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/view/FleetView.java
@@ -236,6 +236,14 @@
     }
   }
 
+  /** Records that an upstream wants no requests of this VM for some time, as another VM tells. */
+  public void recordPeerPause(int incarnationKey, long millis, long nowMillis) {
+    Upstream upstream = byIncarnation.get(incarnationKey);
+    if (upstream != null) {
+      upstream.recordPause(millis, nowMillis);
+    }
+  }
+
   /** Returns the request limits to state to other VMs. */
   public List<StatedLimit> requestLimits(long nowMillis) {
     List<StatedLimit> limits = new ArrayList<>();
