--- a/coordination/src/main/java/org/ragworttide/coordination/zones/TunnelPeers.java
+++ b/coordination/src/main/java/org/ragworttide/coordination/zones/TunnelPeers.java
@@ -18,7 +18,7 @@
  *
  * <p>Invariant: a VM is chosen only if its newest statement is current and does not name the zone
  * as unreachable, and not within {@link #FAILURE_PAUSE_MILLIS} after it has failed to open a
- * tunnel. Confined to one thread.
+ * tunnel, unless it has opened others meanwhile. Confined to one thread.
  */
 public final class TunnelPeers {
   /**
@@ -43,6 +43,7 @@
     private int zone;
     private Set<Integer> unreachableZones = Set.of();
     private long statedAtMillis = NEVER;
+    private long openedAtMillis = NEVER;
     private long failedAtMillis = NEVER;
     private int openTunnels;
 
@@ -85,9 +86,22 @@
     peers.computeIfAbsent(peer, Peer::new).openTunnels--;
   }
 
-  /** Records that the VM did not open a tunnel for a reason of its own. */
-  public void recordFailure(long peer, long nowMillis) {
-    peers.computeIfAbsent(peer, Peer::new).failedAtMillis = nowMillis;
+  /** Records that a tunnel through the VM is open. */
+  public void recordOpened(long peer, long nowMillis) {
+    Peer opening = peers.computeIfAbsent(peer, Peer::new);
+    opening.openedAtMillis = nowMillis;
+    opening.failedAtMillis = NEVER;
+  }
+
+  /**
+   * Records that the VM did not open a tunnel and named no reason that lies with the upstream. If
+   * it has opened others since it was asked, the upstream is what has not answered.
+   */
+  public void recordFailure(long peer, long askedAtMillis, long nowMillis) {
+    Peer failing = peers.computeIfAbsent(peer, Peer::new);
+    if (failing.openedAtMillis <= askedAtMillis) {
+      failing.failedAtMillis = nowMillis;
+    }
   }
 
   /** Removes the VMs that have stated nothing for long and carry no tunnel. */
--- a/coordination/src/test/java/org/ragworttide/coordination/zones/TunnelPeersTest.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/zones/TunnelPeersTest.java
@@ -70,11 +70,38 @@
   @Test
   public void vmThatOpenedNoTunnelIsNotAskedAgainAtOnce() {
     peers.recordStatement(FAR_VM, FAR_ZONE, List.of(), 0);
-    peers.recordFailure(FAR_VM, 0);
+    peers.recordFailure(FAR_VM, 0, 0);
     assertEquals(choose(TunnelPeers.FAILURE_PAUSE_MILLIS - 1), Optional.empty());
     assertEquals(choose(TunnelPeers.FAILURE_PAUSE_MILLIS), Optional.of(FAR_VM));
   }
 
+  /** Guards against the loss of the only VM that helps because one upstream does not answer it. */
+  @Test
+  public void vmThatOpensOtherTunnelsIsAskedAgainAtOnce() {
+    peers.recordStatement(FAR_VM, FAR_ZONE, List.of(), 0);
+    for (int asked = 0; asked < 600; asked += 50) {
+      peers.recordOpened(FAR_VM, asked + 5);
+    }
+    peers.recordFailure(FAR_VM, 0, 600);
+    assertEquals(choose(600), Optional.of(FAR_VM));
+  }
+
+  @Test
+  public void vmThatOpensTunnelsAgainIsAskedAgainAtOnce() {
+    peers.recordStatement(FAR_VM, FAR_ZONE, List.of(), 0);
+    peers.recordFailure(FAR_VM, 0, 600);
+    peers.recordOpened(FAR_VM, 610);
+    assertEquals(choose(610), Optional.of(FAR_VM));
+  }
+
+  @Test
+  public void vmThatOpenedTunnelsOnlyBeforeIsNotAskedAgainAtOnce() {
+    peers.recordStatement(FAR_VM, FAR_ZONE, List.of(), 0);
+    peers.recordOpened(FAR_VM, 10);
+    peers.recordFailure(FAR_VM, 10, 610);
+    assertEquals(choose(610), Optional.empty());
+  }
+
   @Test
   public void wayWithFewerCrossingsIsPreferred() {
     peers.recordStatement(THIRD_VM, THIRD_ZONE, List.of(), 0);
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/UpstreamPaths.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/UpstreamPaths.java
@@ -244,21 +244,23 @@
             requestId,
             millis -> pauses.tell(FeedAddress.address(vm), upstream.incarnationKey(), millis),
             connection -> {
+              peers.recordOpened(vm, time.nowMillis());
               telemetry.recordTunnelOpened(
                   requestId, upstream.entry().id(), FeedAddress.address(vm));
               opened.accept(connection);
             },
             failure -> {
-              recordTunnelFailure(vm, upstream, failure);
+              recordTunnelFailure(vm, upstream, now, failure);
               failed.accept(failure);
             });
     closed.addListener(done -> peers.recordClosed(vm));
   }
 
-  private void recordTunnelFailure(long vm, Upstream upstream, ConnectFailure failure) {
+  private void recordTunnelFailure(
+      long vm, Upstream upstream, long askedAtMillis, ConnectFailure failure) {
     long now = time.nowMillis();
     if (failure.kind() == ConnectFailure.Kind.NOT_TRIED) {
-      peers.recordFailure(vm, now);
+      peers.recordFailure(vm, askedAtMillis, now);
     } else if (failure.isVerdictOnUpstream()) {
       downUntilMillis.values().removeIf(until -> until <= now);
       downUntilMillis.put(upstream.incarnationKey(), now + DOWN_MILLIS);
