--- a/gateway/src/main/java/org/ragworttide/gateway/peer/PauseMessage.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/peer/PauseMessage.java
@@ -15,7 +15,7 @@
  *     StatedAvailability#MAX_PAUSE_MILLIS}
  */
 record PauseMessage(int upstream, int remainingMillis) {
-  static final byte TYPE = 11;
+  static final byte TYPE = 16;
 
   /** Length of an encoded message in bytes. */
   static final int LENGTH = 2 + 2 * Integer.BYTES;
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/UpstreamPaths.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/UpstreamPaths.java
@@ -211,6 +211,14 @@
     zones.recordFailure(upstream, failure);
   }
 
+  /**
+   * Finds out whether a refused connection tells of the upstream, because the VM still reaches
+   * others of its zone.
+   */
+  public void confirmRefusal(Upstream upstream, Consumer<Boolean> confirmed) {
+    zones.confirmContact(upstream, confirmed);
+  }
+
   /**
    * Returns whether another VM may reach an upstream to which this VM could not open a connection.
    */
--- a/gateway/src/main/java/org/ragworttide/gateway/relay/ZoneWatch.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/relay/ZoneWatch.java
@@ -94,7 +94,7 @@
   /**
    * Finds out whether the VM still reaches the zone of an upstream that has refused a connection,
    * from the next connection that is opened to another upstream of the zone. Without another one,
-   * or without checks, the zone counts as reached.
+   * or without checks, the zone counts as reached; one that is lost already does not.
    */
   void confirmContact(Upstream refusing, Consumer<Boolean> reached) {
     ZoneId zone = refusing.entry().zone();
@@ -104,6 +104,10 @@
       reached.accept(true);
       return;
     }
+    if (isUnreachable(zone)) {
+      reached.accept(false);
+      return;
+    }
     awaitingContact.computeIfAbsent(zone, key -> new ArrayList<>()).add(reached);
     check(others.getFirst());
   }
--- a/gateway/src/main/java/org/ragworttide/gateway/tunnel/TunnelServer.java
+++ b/gateway/src/main/java/org/ragworttide/gateway/tunnel/TunnelServer.java
@@ -141,8 +141,7 @@
             ConnectFailure failure = ConnectFailure.of(done.cause());
             paths.recordFailure(upstream, failure);
             if (attempt.failed()) {
-              TunnelReply reply = failure.refused() ? TunnelReply.REFUSED : TunnelReply.SILENT;
-              refuse(tunnel.requester, request, reply);
+              refuse(tunnel.requester, upstream, request, failure);
             }
           } else if (attempt.opened()) {
             telemetry.recordTunnelServed(
@@ -154,6 +153,19 @@
         });
   }
 
+  /** Refuses a tunnel; a connection that is refused on a cut way tells nothing of the upstream. */
+  private void refuse(
+      Channel requester, Upstream upstream, TunnelRequest request, ConnectFailure failure) {
+    if (failure.refused()) {
+      paths.confirmRefusal(
+          upstream,
+          confirmed ->
+              refuse(requester, request, confirmed ? TunnelReply.REFUSED : TunnelReply.SILENT));
+    } else {
+      refuse(requester, request, TunnelReply.SILENT);
+    }
+  }
+
   private void refuse(Channel requester, TunnelRequest request, TunnelReply reply) {
     telemetry.recordTunnelRefused(request.requestId(), requester.remoteAddress(), reply);
     reply(requester, reply).addListener(ChannelFutureListener.CLOSE);
