--- a/coordination/src/test/java/org/ragworttide/coordination/zones/TunnelFleet.java
+++ b/coordination/src/test/java/org/ragworttide/coordination/zones/TunnelFleet.java
@@ -187,6 +187,7 @@
     private final Set<Integer> tried = new HashSet<>();
     private final Deque<Integer> unreached = new ArrayDeque<>();
     private int unreachable;
+    private long askedAtMillis;
 
     private Request(TunnelVm vm, long number, long receivedAtMillis) {
       this.vm = vm;
@@ -437,6 +438,7 @@
       askedAfterFirstSecond += lastAskedInCutMillis > MILLIS_PER_SECOND ? 1 : 0;
     }
     vm.peers.recordOpening(peer.get());
+    request.askedAtMillis = now;
     TunnelVm helper = vms.get(Math.toIntExact(peer.get()));
     if (!helper.alive) {
       after(CONNECT_TIMEOUT_MILLIS, () -> tunnelFailed(request, helper, true));
@@ -462,6 +464,7 @@
         () -> {
           opened++;
           helper.carried++;
+          request.vm.peers.recordOpened(helper.number, now);
           serve(request);
           after(
               REQUEST_MILLIS,
@@ -481,7 +484,7 @@
   private void tunnelFailed(Request request, TunnelVm helper, boolean byHelper) {
     request.vm.peers.recordClosed(helper.number);
     if (byHelper) {
-      request.vm.peers.recordFailure(helper.number, now);
+      request.vm.peers.recordFailure(helper.number, request.askedAtMillis, now);
     }
     connectFailed(request);
   }
